--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,218 @@
+"""Cases against the decisions, a table for each part."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.server import Server, actions, facts
+
+Act, Outcome = actions, facts.Outcome
+
+
+class OrdinaryPath(unittest.TestCase):
+    def test_share_and_lending(self) -> None:
+        """Four cores: one key's share is one op while others' ops are held; spare slots are lent."""
+        cases = [
+            ("alone, a key runs on all cores", [0] * 6, [0, 1, 2, 3]),
+            ("another's op goes before over-share ops", [0, 0, 0, 0, 1], [0, 1, 2, 4]),
+            ("spare slots are lent to the oldest", [0, 0, 0, 1, 1], [0, 1, 2, 3]),
+            ("shares first, then the oldest", [0, 0, 0, 0, 0, 1, 2], [0, 1, 5, 6]),
+        ]
+        for name, callers, started in cases:
+            with self.subTest(name):
+                server = Server()
+                for id, caller in enumerate(callers):
+                    server.op(id, caller=caller)
+                server.settle()
+                self.assertEqual(sorted(server.ids(Act.Run)), started)
+
+    def test_tenant_is_the_key_where_told(self) -> None:
+        server = Server(tenants=(facts.Tenant(0.5, 10.0), facts.Tenant(0.5, 10.0)))
+        for id in range(5):
+            server.op(id, caller=id, tenant=int(id == 4))
+        server.settle()
+        self.assertEqual(sorted(server.ids(Act.Run)), [0, 1, 2, 4])
+
+    def test_predicted_miss_is_nacked_on_arrival(self) -> None:
+        """Runs take a second and the target is two: what cannot make it is turned away at once."""
+        for name, took, nacked in [("no history", None, []), ("short runs", 0.1, []), ("long", 1.0, [8, 9])]:
+            with self.subTest(name):
+                server = Server()
+                if took:
+                    server.learned(took)
+                for id in range(10):
+                    server.op(id)
+                server.settle()
+                self.assertEqual(server.ids(Act.Nack)[-2:], nacked)
+
+    def test_stale_held_ops_are_answered_at_once(self) -> None:
+        server = Server()
+        for id in range(5):
+            server.op(id)
+        server.settle()
+        server.beat(later=2.1)
+        self.assertEqual(server.ids(Act.Nack), [4])
+
+
+class Limits(unittest.TestCase):
+    def limit(self, busy: float, ops: int, **changed: object) -> int:
+        server = Server(**changed)
+        for id in range(ops):
+            server.op(id)
+        server.settle()
+        for _ in range(20):
+            server.beat(busy=busy)
+        return server.yoke.on_core
+
+    def test_growth_and_ceilings(self) -> None:
+        cases = [
+            ("full cores: it stays", 1.0, {}, 4, 4),
+            ("idle cores: it grows", 0.5, {}, 12, 16),
+            ("a cold server survives fewer", 0.5, {"survival": {"cold": True}}, 5, 9),
+            ("memory for 40 held and six runs", 0.5, {"machine": {"memory": 640.0}}, 6, 6),
+        ]
+        for name, busy, changed, least, most in cases:
+            with self.subTest(name):
+                ran = self.limit(busy, 40, **changed)
+                self.assertGreaterEqual(ran, least)
+                self.assertLessEqual(ran, most)
+
+
+class Rules(unittest.TestCase):
+    def test_every_op_is_answered_by_its_due_time(self) -> None:
+        """Held, running, at a call, calling, reusing: all get one final answer in time."""
+        server = Server(callers={"signal": facts.Signal.NOTHING})
+        for id in range(5):
+            server.op(id, left=1.0)
+        server.op(5, type=1, left=0.9)
+        server.op(6, type=1, left=0.9, repeats=99)
+        server.settle()
+        server.yoke.blocked(server.now, 0)
+        server.yoke.blocked(server.now, 1)
+        server.settle()
+        answers = []
+        for _ in range(16):
+            server.beat()
+            answers += server.ids(Act.Nack) + server.ids(Act.Fail)
+        self.assertEqual(sorted(answers), list(range(7)))
+
+    def test_repeats(self) -> None:
+        server = Server()
+        server.op(1, type=1)
+        server.op(2, type=1, repeats=1)
+        server.op(3, type=1, repeats=77)
+        server.settle()
+        self.assertEqual((server.ids(Act.Keep), server.ids(Act.Run)), ([1], [1]))
+        self.assertEqual(server.ids(Act.Reuse), [2, 3])
+        self.assertEqual(server.ids(Act.Nack), [])
+
+    def test_keys_leave_with_their_window(self) -> None:
+        server = Server()
+        server.op(1, type=1)
+        server.settle()
+        server.end(1)
+        for later, memory in [(9.0, 5.0), (2.0, 0.0)]:
+            server.beat(later=later)
+            self.assertEqual(server.yoke.keys.memory(), memory)
+
+    def test_memory(self) -> None:
+        """No room for an op, or for its key, means no run of it; the least important held op goes first."""
+        server = Server(machine={"memory": 100.0})
+        for id, type in enumerate([0, 0, 2, 2, 2, 2, 2, 2, 2, 2, 2]):
+            server.op(id, type=type)
+        server.settle()
+        self.assertLessEqual(server.yoke.memory, 100.0)
+        self.assertTrue(server.ids(Act.Nack))
+
+    def test_drain(self) -> None:
+        server = Server()
+        server.op(1)
+        server.settle()
+        server.yoke.leave(server.now, 5.0)
+        server.settle()
+        self.assertIn(Act.Health(True, False), server.did)
+        for later, unread, nacked in [(1.9, 0.0, []), (0.3, 0.3, []), (0.1, 0.0, [4])]:
+            server.now += later
+            server.op(len(nacked) + 2 + int(later < 1), unread=unread)
+            server.settle()
+            self.assertEqual(server.ids(Act.Nack), nacked or [])
+        answers = server.ids(Act.Nack)
+        while server.now < 104.95:
+            server.beat()
+            answers += server.ids(Act.Nack) + server.ids(Act.Fail)
+        self.assertEqual(server.yoke.jobs.keys() - {id for id in answers}, set())
+
+    def test_answered_run_keeps_its_core(self) -> None:
+        server = Server()
+        server.op(1, left=0.05)
+        server.settle()
+        server.beat()
+        self.assertEqual((server.ids(Act.Fail), server.yoke.on_core), ([1], 1))
+        server.end(1)
+        self.assertEqual((server.yoke.on_core, server.yoke.memory), (0, 0.0))
+
+
+class CallsBelow(unittest.TestCase):
+    def blocked(self, server: Server, *types: int) -> None:
+        for id, type in enumerate(types):
+            server.op(id, type=type)
+        server.settle()
+        for id in range(len(types)):
+            server.yoke.blocked(server.now, id)
+        server.settle()
+
+    def test_bound(self) -> None:
+        dependency = facts.Dependency(facts.Below.SHARED, 3.0, 5.0, 0.2)
+        server = Server(dependency=dependency)
+        self.blocked(server, 0, 0, 0, 0)
+        self.assertEqual(server.ids(Act.Call), [0, 1])
+        server.yoke.called(server.now, 0, Outcome.TIMEOUT, 1.0)  # abandoned: it lingers
+        self.assertEqual((server.settle(), server.beat(later=0.3) and server.ids(Act.Call)), ([], [2]))
+
+    def test_slow_calls_go_by_importance(self) -> None:
+        for recent, first in [(0.1, 0), (1.0, 2)]:
+            with self.subTest(recent=recent):
+                server = Server(dependency=facts.Dependency(facts.Below.SHARED, 1.2, 5.0, 0.2))
+                server.yoke.calls.quick, server.yoke.calls.recent = 0.1, recent
+                self.blocked(server, 0, 0, 2)
+                self.assertEqual(server.ids(Act.Call), [first])
+
+    def test_failed_calls(self) -> None:
+        """What is not retryable repeats a call only after proof that it never ran."""
+        cases = [
+            (0, Outcome.ERROR, Act.Call),
+            (2, Outcome.ERROR, Act.Fail),
+            (2, Outcome.FULL, Act.Call),
+            (1, Outcome.CUT, Act.Fail),
+            (1, Outcome.UNREACHED, Act.Call),
+        ]
+        for kind, outcome, then in cases:
+            with self.subTest(kind=kind, outcome=outcome):
+                server = Server()
+                self.blocked(server, kind)
+                server.yoke.called(server.now, 0, outcome, 0.01)
+                did = server.settle() + server.beat(later=0.25)
+                self.assertEqual([type(act) for act in did if isinstance(act, Act.Call | Act.Fail)], [then])
+
+    def test_poorer_answer(self) -> None:
+        """A call that cannot pay is left out where an answer without it earns something."""
+        for type, then in [(3, Act.GoOn), (0, Act.Call)]:
+            server = Server()
+            server.yoke.calls.quick = server.yoke.calls.recent = 3.0
+            self.blocked(server, type)
+            self.assertEqual(server.ids(then), [0])
+
+
+class Told(unittest.TestCase):
+    def test_floor_rises_under_pressure_and_falls_after(self) -> None:
+        server = Server()
+        server.learned(0.5)
+        for id in range(20):
+            server.op(id)
+        server.settle()
+        server.beat(later=0.5)
+        self.assertGreater(server.yoke.voice.floor, 0.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/thymeyoke/__init__.py
@@ -0,0 +1,1 @@
+"""thymeyoke: decides, inside each app server of a fleet, what it takes, runs and turns away."""
--- /dev/null
+++ b/thymeyoke/choice.py
@@ -0,0 +1,587 @@
+"""All decisions of one app server: what it takes, runs and turns away, and what it says of itself.
+
+How it is called: one `Choice` a server life. Every event is handed in by its method (`take`, `ended`,
+`blocked`, `called`, `gone`, `woke`, `leave`); when a batch of them is in, `settle(now)` returns the
+actions. The types on both sides are in `thymeyoke/port/`; docs/design.md tells where this comes from.
+
+Events only move the wanted state (`Job.want` and what should be said and timed). `settle` picks what
+should run or call, and `_difference` alone turns wanted against present into actions.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator
+from enum import IntEnum
+from heapq import heappop, heappush
+from random import Random
+from typing import Any
+
+from thymeyoke.port import actions as act
+from thymeyoke.port import facts
+from thymeyoke.port.facts import Below, Outcome, Repeat, Signal
+
+SHARE = 1 / 4  # of the run limit: what one key may run while others' ops are held
+MEMORY_FILL = 0.95  # of the memory: the rest is for what is already on its way
+CROWD_FILL = 0.75  # of the survivable crowd: runs on the cores and calls that may come back together
+GROW, SHRINK = 2.0, 0.5  # cores a core and second by which the run limit grows and backs off
+IDLE_BUSY, FULL_BUSY = 0.9, 0.97  # cores idle below the first gauge value, saturated above the second
+MEMORY_OF_RUNS = 0.1  # weight of the newest run in the recent run times
+SURE_MISS = 0.5  # a held op is stale when this part of its expected run no longer fits
+CALL_FILL = 0.85  # of `fair_calls`: the most calls that are out, lingering ones included
+SLOW_CALLS = 2.5  # calls are slow past this multiple of their quick times
+CALL_TRIES = 4  # of one call, where repeating it is allowed
+BACKOFF = 0.1  # of the target: the first wait before a call is repeated
+PRESSED = 0.5  # of the usual target: the wait at which callers are told to hold back
+FLOOR_GAIN = 0.5  # a second and unit of pressure past the set point
+FLOOR_TOP = 0.9
+
+
+class At(IntEnum):
+    """Where an op in hand is."""
+
+    HELD = 0
+    ON_CORE = 1
+    AT_CALL = 2
+    CALLING = 3
+    REUSING = 4
+
+
+class Want(IntEnum):
+    """What an op in hand should do next; STAY asks for nothing."""
+
+    STAY = 0
+    RUN = 1
+    CALL = 2
+    GO_ON = 3
+    REUSE = 4
+    NACK = 5
+    FAIL = 6
+
+
+class Job:
+    """An op in hand, from its arrival until it is answered and off the cores."""
+
+    __slots__ = ("answered", "at", "cost", "due", "hint", "id", "kept", "key", "kind", "kind_at",
+                 "not_before", "off", "on", "op", "queued", "reached", "since", "size", "target", "tries",
+                 "want")  # fmt: skip
+
+    def __init__(self, op: facts.Op, kind: facts.OpType, key: int, now: float, cost: float) -> None:
+        self.op, self.id, self.size, self.key = op, op.id, op.size, key
+        self.kind, self.kind_at = kind, op.type
+        self.reached = now - op.unread
+        self.due = now + op.left if op.left else max(now, self.reached + kind.timeout)
+        self.target = self.reached + min(kind.target + kind.stretch * op.hint, kind.timeout)
+        self.cost, self.hint = cost, op.hint
+        self.at, self.want, self.tries = At.HELD, Want.STAY, 0
+        self.answered = self.kept = self.queued = False
+        self.since, self.on, self.off, self.not_before = now, 0.0, 0.0, 0.0  # since: when it came to be `at`
+
+    def move(self, now: float, at: At) -> None:
+        """Book the time spent where it was, on the cores or off them."""
+        if self.at is At.ON_CORE:
+            self.on += now - self.since
+        elif self.at in (At.AT_CALL, At.CALLING):
+            self.off += now - self.since
+        self.at, self.since = at, now
+
+
+class Pace:
+    """Recent run times of each op type: on the cores (scaled by the hint where told) and off them."""
+
+    def __init__(self, kinds: int) -> None:
+        self.core: list[float | None] = [None] * kinds
+        self.unit: list[float | None] = [None] * kinds
+        self.away = [0.0] * kinds
+
+    def learn(self, job: Job) -> None:
+        at = job.kind_at
+        self._blend(self.core, at, job.on)
+        if job.hint:
+            self._blend(self.unit, at, job.on / job.hint)
+        self.away[at] += MEMORY_OF_RUNS * (job.off - self.away[at])
+
+    @staticmethod
+    def _blend(row: list[float | None], at: int, value: float) -> None:
+        old = row[at]
+        row[at] = value if old is None else old + MEMORY_OF_RUNS * (value - old)
+
+    def cost(self, op: facts.Op) -> float:
+        """Expected time on a core; 0 without history."""
+        unit = self.unit[op.type]
+        if op.hint and unit is not None:
+            return op.hint * unit
+        return self.core[op.type] or 0.0
+
+
+class RunLimit:
+    """How many ops should be on the cores at once."""
+
+    def __init__(self, cores: int, now: float, survival: facts.Survival) -> None:
+        self.cores, self.limit, self.survival = cores, float(cores), survival
+        self.born = self.changed = now
+
+    def ceiling(self, now: float) -> float:
+        """The crowd that is sure to be survived: the lower bound of warmth counts while cold."""
+        s, warm = self.survival, 1.0
+        if s.cold and s.cold_span > 0:
+            warm = min(1.0, s.cold_share + (1 - s.cold_share) * (now - self.born) / s.cold_span)
+        return max(1.0, self.cores * (1 + (s.crowd - 1) * warm) * CROWD_FILL)
+
+    def adapt(self, now: float, busy: float | None, on_core: int, held: bool) -> None:
+        """Grow while cores idle and work is held; with the cores full, running more finishes no more."""
+        span, self.changed = now - self.changed, now
+        if busy is None:
+            return
+        if held and busy < IDLE_BUSY and on_core >= int(self.limit):
+            self.limit += GROW * self.cores * span
+        elif busy > FULL_BUSY or not held:
+            self.limit -= SHRINK * self.cores * span
+        self.limit = min(max(self.limit, self.cores), self.ceiling(now))
+
+
+class Hold:
+    """Held ops, oldest first, a line for each key. A line goes when it is empty."""
+
+    def __init__(self) -> None:
+        self.lines: dict[int, deque[Job]] = {}
+        self.work: dict[int, float] = {}  # expected run time held, by key; goes with the line
+        self.count = 0
+
+    def add(self, job: Job) -> None:
+        job.queued = True
+        self.lines.setdefault(job.key, deque()).append(job)
+        self.work[job.key] = self.work.get(job.key, 0.0) + job.cost
+        self.count += 1
+
+    def drop(self, job: Job) -> None:
+        """Take one out, from wherever it stands."""
+        job.queued = False
+        line = self.lines[job.key]
+        if line[0] is job:
+            line.popleft()
+        else:
+            line.remove(job)
+        self.count -= 1
+        self.work[job.key] -= job.cost
+        if not line:
+            del self.lines[job.key], self.work[job.key]
+
+    def total(self) -> float:
+        return sum(self.work.values())
+
+    def __iter__(self) -> Iterator[Job]:
+        for line in list(self.lines.values()):
+            yield from list(line)
+
+    def next(self, running: dict[int, int], share: float) -> Job | None:
+        """The oldest op of a key within its share; else the slot is lent to the oldest."""
+        best: Job | None = None
+        best_over = True
+        for key, line in self.lines.items():
+            head, over = line[0], running.get(key, 0) + 1 > share
+            if best is None or (over, head.reached) < (best_over, best.reached):
+                best, best_over = head, over
+        return best
+
+
+class Calls:
+    """Calls to what lies below: how many may be out, and who goes first."""
+
+    def __init__(self, dependency: facts.Dependency, now: float) -> None:
+        self.bound = dependency.fair_calls * CALL_FILL if dependency.kind is Below.SHARED else float("inf")
+        self.linger_span, self.fair_span = dependency.linger, dependency.fair_span
+        self.waiting: list[Job] = []  # emptied as calls go out or are given up
+        self.lingering: deque[float] = deque()  # ends of abandoned calls; emptied as they pass
+        self.out, self.mean, self.seen = 0, 0.0, now
+        self.quick: float | None = None
+        self.recent = 0.0
+
+    def book(self, now: float) -> None:
+        """Keep the average number of calls in the dependency's hands."""
+        while self.lingering and self.lingering[0] <= now:
+            self.lingering.popleft()
+        if self.fair_span:
+            part = min(1.0, (now - self.seen) / self.fair_span)
+            self.mean += part * (self.out + len(self.lingering) - self.mean)
+        self.seen = now
+
+    def room(self) -> bool:
+        """Whether one more may go out. A bound below one call is kept by the average instead."""
+        hands = self.out + len(self.lingering)
+        if self.bound >= 1:
+            return hands + 1 <= self.bound
+        return hands == 0 and self.mean < self.bound / 2
+
+    def learn(self, took: float) -> None:
+        self.recent += 0.2 * (took - self.recent) if self.quick is not None else took
+        if self.quick is None or took < self.quick:
+            self.quick = took
+        else:
+            self.quick += 0.01 * (took - self.quick)
+
+    def slow(self) -> bool:
+        return self.quick is not None and self.recent > SLOW_CALLS * self.quick
+
+    def order(self) -> None:
+        """Oldest first; by importance when calls below are slow."""
+        if self.slow():
+            self.waiting.sort(key=lambda job: (-job.kind.importance, job.reached))
+        else:
+            self.waiting.sort(key=lambda job: job.reached)
+
+
+class Keys:
+    """Retained repeats and their memory; entries go when their window has passed."""
+
+    def __init__(self, size: float) -> None:
+        self.size, self.live, self.ends = size, {}, []  # type: float, dict[Any, float], list[tuple[float, Any]]
+
+    def memory(self) -> float:
+        return len(self.live) * self.size
+
+    def keep(self, now: float, job: Job, span: float) -> None:
+        self.live[job.id] = now + span
+        heappush(self.ends, (now + span, job.id))
+
+    def expire(self, now: float) -> None:
+        while self.ends and self.ends[0][0] < now:
+            self.live.pop(heappop(self.ends)[1], None)
+
+
+class Voice:
+    """What callers are told with every answer, from the pressure that the wait estimate gives."""
+
+    def __init__(self, signal: Signal, callers: int) -> None:
+        self.signal, self.callers = signal, max(1, callers)
+        self.floor = 0.0
+
+    def value(self, span: float, pressure: float, room: float) -> float | None:
+        """Pressure 1 is where callers should begin to hold back; room is how many ops fit in hand in time."""
+        if self.signal is Signal.FLOOR:
+            self.floor = min(FLOOR_TOP, max(0.0, self.floor + span * FLOOR_GAIN * (pressure - 1)))
+            return round(self.floor, 2)
+        if self.signal is Signal.ALLOWANCE:
+            return round(max(0.5, 2 - pressure) * room / self.callers, 1)
+        if self.signal is Signal.WEIGHT:
+            return round(min(1.0, max(0.1, 1.5 - pressure / 2)), 2)
+        return None
+
+
+class Choice:
+    """One server's life: the parts above, joined."""
+
+    def __init__(self, now: float, seed: int, op_types: tuple[facts.OpType, ...], machine: facts.Machine,
+                 survival: facts.Survival, duty: facts.Duty, dependency: facts.Dependency,
+                 callers: facts.Callers, tenants: tuple[facts.Tenant, ...]) -> None:  # fmt: skip
+        self.random = Random(seed)
+        self.kinds, self.machine, self.duty, self.callers = op_types, machine, duty, callers
+        self.by_tenant = bool(tenants)
+        self.beat = max(duty.answer_slack, 8 * machine.tick)
+        self.usual_target = sum(kind.target for kind in op_types) / len(op_types)
+        self.pace, self.hold = Pace(len(op_types)), Hold()
+        self.limit, self.calls = RunLimit(machine.cores, now, survival), Calls(dependency, now)
+        self.keys, self.voice = Keys(machine.key_size), Voice(callers.signal, callers.count)
+        self.jobs: dict[Any, Job] = {}  # ops in hand; emptied by their answers and ends
+        self.dues: list[tuple[float, Any]] = []  # emptied as their moments pass
+        self.changed: list[Job] = []  # ops whose wanted state moved; emptied by every settle
+        self.running: dict[int, int] = {}  # ops on the cores by key; a key goes at zero
+        self.on_core, self.memory = 0, 0.0
+        self.leave_at = self.grace_until = float("inf")
+        self.out: list[act.Action] = []
+        self.said: float | None = None
+        self.begun = False
+
+    # What happens.
+
+    def take(self, now: float, op: facts.Op) -> None:
+        kind = self.kinds[op.type]
+        job = Job(op, kind, op.tenant if self.by_tenant else op.caller, now, self.pace.cost(op))
+        self.jobs[job.id] = job
+        self.memory += job.size
+        heappush(self.dues, (job.due, job.id))
+        first = self.jobs.get(op.repeats) if op.repeats is not None else None
+        dropped = first is not None and first.want is Want.NACK  # both in this batch: it will not have run
+        if op.repeats is not None and not dropped and (kind.repeat is Repeat.KEYED or self.callers.fresh):
+            self._wish(job, Want.REUSE)
+        elif job.reached > self.grace_until or now > self.leave_at - job.cost - 2 * self.beat:
+            self._wish(job, Want.NACK)
+        elif self._misses(now, job) or not self._fits(job):
+            self._wish(job, Want.NACK)
+        else:
+            self.hold.add(job)
+            self._wish(job, Want.STAY)
+
+    def ended(self, now: float, id: Any, outcome: Outcome) -> None:
+        job = self.jobs.get(id)
+        if job is None:
+            return
+        if outcome in (Outcome.OK, Outcome.ERROR) and job.at is At.ON_CORE:
+            job.on += now - job.since
+            self.pace.learn(job)
+        self._off(now, job)
+
+    def blocked(self, now: float, id: Any) -> None:
+        job = self.jobs.get(id)
+        if job is None:
+            return
+        self._leave_core(job)
+        job.move(now, At.AT_CALL)
+        job.tries, job.not_before = 0, 0.0
+        if not job.answered:
+            self.calls.waiting.append(job)
+
+    def called(self, now: float, id: Any, outcome: Outcome, took: float) -> None:
+        job = self.jobs.get(id)
+        if job is None or job.at is not At.CALLING:
+            return
+        self.calls.out -= 1
+        if outcome is Outcome.TIMEOUT:
+            self.calls.lingering.append(now + self.calls.linger_span)
+        if outcome not in (Outcome.FULL, Outcome.UNREACHED):
+            self.calls.learn(took)
+        if outcome is Outcome.OK:
+            job.move(now, At.ON_CORE)
+            self._enter_core(job)
+            return
+        job.move(now, At.AT_CALL)
+        if job.answered:
+            return
+        may_repeat = job.kind.repeat is Repeat.RETRYABLE or outcome in facts.NEVER_RAN
+        if may_repeat and job.tries < CALL_TRIES:
+            wait = BACKOFF * job.kind.target * 2 ** (job.tries - 1) * self.random.uniform(0.5, 1)
+            job.not_before = now + wait
+            self.calls.waiting.append(job)
+        else:
+            self._wish(job, Want.GO_ON if job.kind.poorer_share > 0 else Want.FAIL)
+
+    def gone(self, now: float, id: Any) -> None:
+        """Nobody waits: what is not on the cores has vanished, the rest owes no answer."""
+        job = self.jobs.get(id)
+        if job is None:
+            return
+        if job.at in (At.HELD, At.REUSING):
+            self._off(now, job)
+        else:
+            self._answered(job)
+
+    def leave(self, now: float, left: float) -> None:
+        self.leave_at, self.grace_until = now + left, now + self.duty.drain_grace
+        self.out.append(act.Health(True, False))
+
+    def woke(self, now: float, mark: int, gauges: tuple[float, ...]) -> None:
+        """The beat: gauges, answers due, stale ops, what is said. Every span in here is coarse."""
+        busy = dict(zip(self.machine.gauges, gauges, strict=False)).get("busy")
+        span = now - self.limit.changed
+        self.limit.adapt(now, busy, self.on_core, self.hold.count > 0)
+        self.keys.expire(now)
+        horizon = now + 1.5 * self.beat
+        while self.dues and self.dues[0][0] <= horizon:
+            self._give_up(heappop(self.dues)[1])
+        if now >= self.leave_at - 2.5 * self.beat:  # all that was read is answered before the stop
+            for job in list(self.jobs.values()):
+                self._give_up(job.id)
+        for job in self.hold:
+            if now + SURE_MISS * job.cost > job.target:
+                self._wish(job, Want.NACK)
+        mean = max(1e-3, self._mean_cost())
+        room = self.limit.limit * self.usual_target / mean
+        value = self.voice.value(span, self._wait(None) / (PRESSED * self.usual_target), room)
+        if value is not None and value != self.said:
+            self.said = value
+            self.out.append(act.Say(value))
+        self.out.append(act.Wake(0, self.beat))
+
+    # What should be.
+
+    def settle(self, now: float) -> list[act.Action]:
+        """Decide what should run and call now, and return the difference to what is."""
+        if not self.begun:
+            self.begun = True
+            self.out += [act.Health(True, True), act.Wake(0, self.beat)]
+        self._shed_memory()
+        self._start(now)
+        self._let_out(now)
+        for job in self.changed:
+            self._difference(now, job)
+        self.changed.clear()
+        out, self.out = self.out, []
+        return out
+
+    def _start(self, now: float) -> None:
+        """Start held ops while the limit, the ceiling and the memory leave room."""
+        limit, ceiling = self.limit.limit, self.limit.ceiling(now)
+        while self.hold.count and self.on_core + 1 <= limit:
+            if self.on_core + self.calls.out + len(self.calls.waiting) + 1 > ceiling:
+                break
+            job = self.hold.next(self.running, max(1.0, limit * SHARE))
+            if job is None:
+                break
+            if now + SURE_MISS * job.cost > job.target:
+                self._wish(job, Want.NACK)
+                continue
+            more = job.size * (self.machine.run_factor - 1)
+            if self.memory + self.keys.memory() + more > self.machine.memory * MEMORY_FILL:
+                break
+            self._wish(job, Want.RUN)
+            self.memory += more
+            job.size *= self.machine.run_factor
+            job.move(now, At.ON_CORE)
+            self._enter_core(job)
+
+    def _let_out(self, now: float) -> None:
+        """Let calls out; an op whose call cannot pay goes on without it or is failed."""
+        calls = self.calls
+        calls.book(now)
+        if not calls.waiting:
+            return
+        calls.order()
+        later = []
+        for job in calls.waiting:
+            if job.answered or job.want >= Want.GO_ON:
+                continue
+            if now + calls.recent > job.target and job.kind.poorer_share > job.kind.late_share:
+                self._wish(job, Want.GO_ON)
+            elif now > job.target and not job.kind.late_share and self.hold.count:
+                self._wish(job, Want.FAIL)
+            elif job.not_before <= now and calls.room():
+                calls.out += 1
+                job.tries += 1
+                self._wish(job, Want.CALL)
+            else:
+                later.append(job)
+        calls.waiting = later
+
+    def _shed_memory(self) -> None:
+        """Memory short: the least important held ops go first, the youngest of them before older ones."""
+        top = self.machine.memory * MEMORY_FILL
+        if self.memory + self.keys.memory() <= top:
+            return
+        held = sorted(self.hold, key=lambda job: (job.kind.importance, -job.reached))
+        excess = self.memory + self.keys.memory() - top
+        for job in held:
+            if excess <= 0:
+                break
+            excess -= job.size + (self.machine.key_size if job.kept else 0)
+            self._wish(job, Want.NACK)
+
+    def _difference(self, now: float, job: Job) -> None:
+        """The one place where an op's wanted state, against its present one, becomes actions."""
+        want, job.want = job.want, Want.STAY
+        if job.id not in self.jobs or job.answered:
+            return
+        if want <= Want.RUN and job.kind.repeat is Repeat.KEYED and not job.kept:
+            job.kept = True  # kept while held: the repeat of an unkept held op comes unmarked
+            self.keys.keep(now, job, job.kind.key_window)
+            self.out.append(act.Keep(job.id, job.kind.key_window))
+        if want is Want.RUN:
+            self.out.append(act.Run(job.id))
+        elif want is Want.CALL:
+            job.move(now, At.CALLING)
+            self.out.append(act.Call(job.id, max(now + self.beat, job.due - self.beat)))
+        elif want is Want.GO_ON:
+            job.move(now, At.ON_CORE)
+            self._enter_core(job)
+            self.out.append(act.GoOn(job.id))
+        elif want is Want.REUSE:
+            job.move(now, At.REUSING)
+            self.out.append(act.Reuse(job.id))
+        elif want is Want.NACK:
+            if job.kept:
+                self.keys.live.pop(job.id, None)
+                self.out.append(act.Forget(job.id))
+            self.out.append(act.Nack(job.id, False, self._away(now)))
+            self._off(now, job)
+        elif want is Want.FAIL:
+            self.out.append(act.Fail(job.id))
+            if job.at in (At.HELD, At.REUSING):
+                self._off(now, job)
+            else:
+                self._answered(job)
+
+    # The wait estimate.
+
+    def _wait(self, key: int | None) -> float:
+        """Predicted wait of a new op: work ahead over the slots, or its key's own line over its share."""
+        limit = self.limit.limit
+        if self.on_core + 1 <= limit and not self.hold.count:
+            return 0.0
+        ahead = self.hold.total()
+        if key is not None:
+            ahead = min(ahead, self.hold.work.get(key, 0.0) * limit / max(1.0, limit * SHARE))
+        return (ahead + self._remaining()) / limit
+
+    def _remaining(self) -> float:
+        return sum(0.5 * (self.pace.core[kind] or 0.0) for kind in self._kinds_on_core())
+
+    def _kinds_on_core(self) -> list[int]:
+        return [job.kind_at for job in self.jobs.values() if job.at is At.ON_CORE]
+
+    def _mean_cost(self) -> float:
+        known = [value for value in self.pace.core if value]
+        return sum(known) / len(known) if known else self.usual_target / 4
+
+    def _misses(self, now: float, job: Job) -> bool:
+        """Whether it is predicted to miss its target; without history nothing is."""
+        if not job.cost:
+            return False
+        return now + self._wait(job.key) + job.cost + self.pace.away[job.kind_at] > job.target
+
+    def _away(self, now: float) -> float:
+        """How long a nacked caller should stay away: until the wait is back at the set point."""
+        if self.leave_at < float("inf"):
+            return self.callers.max_wait
+        return min(self.callers.max_wait, max(0.0, self._wait(None) - PRESSED * self.usual_target))
+
+    # Book-keeping.
+
+    def _wish(self, job: Job, want: Want) -> None:
+        """Set what an op should do next; a final answer that is already wanted stands."""
+        if job.want >= Want.NACK:
+            return
+        if job.queued and want is not Want.STAY:
+            self.hold.drop(job)
+        job.want = want
+        self.changed.append(job)
+
+    def _fits(self, job: Job) -> bool:
+        more = self.machine.key_size if job.kind.repeat is Repeat.KEYED else 0.0
+        return self.memory + self.keys.memory() + more <= self.machine.memory * MEMORY_FILL
+
+    def _give_up(self, id: Any) -> None:
+        """Its answer is due: what never ran is nacked, the rest fails."""
+        job = self.jobs.get(id)
+        if job is not None and not job.answered:
+            self._wish(job, Want.NACK if job.at is At.HELD and job.want is not Want.REUSE else Want.FAIL)
+
+    def _answered(self, job: Job) -> None:
+        """Answered while running: it keeps its core and memory until its run ends."""
+        job.answered = True
+        if job.at is At.CALLING:
+            self.calls.out -= 1
+            self.calls.lingering.append(self.calls.seen + self.calls.linger_span)
+            job.at = At.AT_CALL
+
+    def _off(self, now: float, job: Job) -> None:
+        """Out of hand: free what it holds."""
+        del self.jobs[job.id]
+        self.memory -= job.size
+        if job.queued:
+            self.hold.drop(job)
+        elif job.at is At.ON_CORE:
+            self._leave_core(job)
+        elif job.at is At.CALLING:
+            self.calls.out -= 1
+            self.calls.lingering.append(now + self.calls.linger_span)
+        elif job.at is At.AT_CALL and job in self.calls.waiting:
+            self.calls.waiting.remove(job)
+
+    def _enter_core(self, job: Job) -> None:
+        self.on_core += 1
+        self.running[job.key] = self.running.get(job.key, 0) + 1
+
+    def _leave_core(self, job: Job) -> None:
+        self.on_core -= 1
+        self.running[job.key] -= 1
+        if not self.running[job.key]:
+            del self.running[job.key]
