A try's target is no later than its caller's patience

Cause: the target was counted from the op's arrival alone. Routers gave tries up after 1.5 to 2.4 s, so held ops ran for nobody while their next tries stood in the same line. Told apart from slow cores by the tap: tries left 1.46 s at the median, waits in the hold up to 1.9 s.

--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -71,7 +71,9 @@
         self.kind, self.kind_at = kind, op.type
         self.reached = now - op.unread
         self.due = now + op.left if op.left else max(now, self.reached + kind.timeout)
-        self.target = self.reached + min(kind.target + kind.stretch * op.hint, kind.timeout)
+        # An answer after the caller gave this try up is lost like one after the target, and the try that
+        # follows stands in the line as well: without this, a short patience feeds a storm of retries.
+        self.target = min(self.due, self.reached + kind.target + kind.stretch * op.hint)
         self.cost, self.hint = cost, op.hint
         self.at, self.want, self.tries = At.HELD, Want.STAY, 0
         self.answered = self.kept = self.queued = False
