--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -35,7 +35,6 @@
 PRESSED = 0.5  # of the usual target: the wait at which callers are told to hold back
 FLOOR_GAIN = 0.5  # a second and unit of pressure past the set point
 FLOOR_TOP = 0.9
-SILENT = 3  # times the span that callers heed a value: silent longer, a caller no longer counts
 
 
 class At(IntEnum):
@@ -255,25 +254,17 @@
 class Voice:
     """What callers are told with every answer, from the pressure that the wait estimate gives."""
 
-    def __init__(self, signal: Signal, callers: int, heeded: float) -> None:
-        self.signal, self.told, self.heeded = signal, max(1, callers), heeded
+    def __init__(self, signal: Signal, callers: int) -> None:
+        self.signal, self.callers = signal, max(1, callers)
         self.floor = 0.0
-        self.heard: dict[int, float] = {}  # callers by last op; one goes when it has been silent too long
 
-    def count(self, now: float) -> int:
-        """Callers that matter now. New ones join unannounced: dividing by those told at the start alone
-        would let a fleet of callers that grew hold several times what fits."""
-        for caller in [c for c, at in self.heard.items() if at < now - SILENT * self.heeded]:
-            del self.heard[caller]
-        return max(self.told, len(self.heard))
-
-    def value(self, now: float, span: float, pressure: float, room: float) -> float | None:
+    def value(self, span: float, pressure: float, room: float) -> float | None:
         """Pressure 1 is where callers should begin to hold back; room is how many ops fit in hand in time."""
         if self.signal is Signal.FLOOR:
             self.floor = min(FLOOR_TOP, max(0.0, self.floor + span * FLOOR_GAIN * (pressure - 1)))
             return round(self.floor, 2)
         if self.signal is Signal.ALLOWANCE:
-            return round(max(0.5, 2 - pressure) * room / self.count(now), 1)
+            return round(max(0.5, 2 - pressure) * room / self.callers, 1)
         if self.signal is Signal.WEIGHT:
             return round(min(1.0, max(0.1, 1.5 - pressure / 2)), 2)
         return None
@@ -292,7 +283,7 @@
         self.usual_target = sum(kind.target for kind in op_types) / len(op_types)
         self.pace, self.hold = Pace(len(op_types)), Hold()
         self.limit, self.calls = RunLimit(machine.cores, now, survival), Calls(dependency, now)
-        self.keys, self.voice = Keys(machine.key_size), Voice(callers.signal, callers.count, callers.heeded)
+        self.keys, self.voice = Keys(machine.key_size), Voice(callers.signal, callers.count)
         self.jobs: dict[Any, Job] = {}  # ops in hand; emptied by their answers and ends
         self.dues: list[tuple[float, Any]] = []  # emptied as their moments pass
         self.changed: list[Job] = []  # ops whose wanted state moved; emptied by every settle
@@ -310,7 +301,6 @@
         job = Job(op, kind, op.tenant if self.by_tenant else op.caller, now, self.pace.cost(op))
         self.jobs[job.id] = job
         self.memory += job.size
-        self.voice.heard[op.caller] = now
         heappush(self.dues, (job.due, job.id))
         first = self.jobs.get(op.repeats) if op.repeats is not None else None
         dropped = first is not None and first.want is Want.NACK  # both in this batch: it will not have run
@@ -398,7 +388,7 @@
                 self._wish(job, Want.NACK)
         mean = max(1e-3, self._mean_cost())
         room = self.limit.limit * self.usual_target / mean
-        value = self.voice.value(now, span, self._wait(None) / (PRESSED * self.usual_target), room)
+        value = self.voice.value(span, self._wait(None) / (PRESSED * self.usual_target), room)
         if value is not None and value != self.said:
             self.said = value
             self.out.append(act.Say(value))
