Time unread counts as pressure; the allowance closes step by step

Guards against any trouble that delays reading: cold, slow, neighbour, too many connections. Harm: after a pause of the whole process the time unread is briefly high and callers hold back for a moment.

--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -26,7 +26,7 @@
 CROWD_FILL = 0.75  # of the survivable crowd: runs on the cores and calls that may come back together
 GROW, SHRINK = 2.0, 0.5  # cores a core and second by which the run limit grows and backs off
 IDLE_BUSY, FULL_BUSY = 0.9, 0.97  # cores idle below the first gauge value, saturated above the second
-MEMORY_OF_RUNS = 0.1  # weight of the newest run in the recent run times
+NEWEST = 0.1  # weight of the newest value in recent run times and times unread
 SURE_MISS = 0.5  # a held op is stale when this part of its expected run no longer fits
 CALL_FILL = 0.85  # of `fair_calls`: the most calls that are out, lingering ones included
 SLOW_CALLS = 2.5  # calls are slow past this multiple of their quick times
@@ -35,6 +35,8 @@
 PRESSED = 0.5  # of the usual target: the wait at which callers are told to hold back
 FLOOR_GAIN = 0.5  # a second and unit of pressure past the set point
 FLOOR_TOP = 0.9
+ALLOW_GAIN = 2.0  # a second and unit of pressure off the set point, as part of the allowance
+ALLOW_LEAST, ALLOW_TOP = 0.02, 2.0  # of the ops that fit in hand in time, for all callers together
 
 
 class At(IntEnum):
@@ -101,12 +103,12 @@
         self._blend(self.core, at, job.on)
         if job.hint:
             self._blend(self.unit, at, job.on / job.hint)
-        self.away[at] += MEMORY_OF_RUNS * (job.off - self.away[at])
+        self.away[at] += NEWEST * (job.off - self.away[at])
 
     @staticmethod
     def _blend(row: list[float | None], at: int, value: float) -> None:
         old = row[at]
-        row[at] = value if old is None else old + MEMORY_OF_RUNS * (value - old)
+        row[at] = value if old is None else old + NEWEST * (value - old)
 
     def cost(self, op: facts.Op) -> float:
         """Expected time on a core; 0 without history."""
@@ -256,7 +258,7 @@
 
     def __init__(self, signal: Signal, callers: int) -> None:
         self.signal, self.callers = signal, max(1, callers)
-        self.floor = 0.0
+        self.floor, self.part = 0.0, ALLOW_TOP
 
     def value(self, span: float, pressure: float, room: float) -> float | None:
         """Pressure 1 is where callers should begin to hold back; room is how many ops fit in hand in time."""
@@ -264,7 +266,9 @@
             self.floor = min(FLOOR_TOP, max(0.0, self.floor + span * FLOOR_GAIN * (pressure - 1)))
             return round(self.floor, 2)
         if self.signal is Signal.ALLOWANCE:
-            return round(max(0.5, 2 - pressure) * room / self.callers, 1)
+            part = self.part * (1 + span * ALLOW_GAIN * max(-1.0, min(1.0, 1 - pressure)))
+            self.part = min(ALLOW_TOP, max(ALLOW_LEAST, part))
+            return round(self.part * room / self.callers, 1)
         if self.signal is Signal.WEIGHT:
             return round(min(1.0, max(0.1, 1.5 - pressure / 2)), 2)
         return None
@@ -288,7 +292,7 @@
         self.dues: list[tuple[float, Any]] = []  # emptied as their moments pass
         self.changed: list[Job] = []  # ops whose wanted state moved; emptied by every settle
         self.running: dict[int, int] = {}  # ops on the cores by key; a key goes at zero
-        self.on_core, self.memory = 0, 0.0
+        self.on_core, self.memory, self.unread = 0, 0.0, 0.0
         self.leave_at = self.grace_until = float("inf")
         self.out: list[act.Action] = []
         self.said: float | None = None
@@ -301,6 +305,7 @@
         job = Job(op, kind, op.tenant if self.by_tenant else op.caller, now, self.pace.cost(op))
         self.jobs[job.id] = job
         self.memory += job.size
+        self.unread += NEWEST * (op.unread - self.unread)
         heappush(self.dues, (job.due, job.id))
         first = self.jobs.get(op.repeats) if op.repeats is not None else None
         dropped = first is not None and first.want is Want.NACK  # both in this batch: it will not have run
@@ -388,7 +393,7 @@
                 self._wish(job, Want.NACK)
         mean = max(1e-3, self._mean_cost())
         room = self.limit.limit * self.usual_target / mean
-        value = self.voice.value(span, self._wait(None) / (PRESSED * self.usual_target), room)
+        value = self.voice.value(span, self._queueing() / (PRESSED * self.usual_target), room)
         if value is not None and value != self.said:
             self.said = value
             self.out.append(act.Say(value))
@@ -513,6 +518,11 @@
             ahead = min(ahead, self.hold.work.get(key, 0.0) * limit / max(1.0, limit * SHARE))
         return (ahead + self._remaining()) / limit
 
+    def _queueing(self) -> float:
+        """What an op spends waiting here, read or not. A server that reads too late to run anything holds
+        nothing: without the time unread it would look idle and go on inviting ops that it can only nack."""
+        return self.unread + self._wait(None)
+
     def _remaining(self) -> float:
         return sum(0.5 * (self.pace.core[kind] or 0.0) for kind in self._kinds_on_core())
 
@@ -533,7 +543,7 @@
         """How long a nacked caller should stay away: until the wait is back at the set point."""
         if self.leave_at < float("inf"):
             return self.callers.max_wait
-        return min(self.callers.max_wait, max(0.0, self._wait(None) - PRESSED * self.usual_target))
+        return min(self.callers.max_wait, max(0.0, self._queueing() - PRESSED * self.usual_target))
 
     # Book-keeping.
 
