Run times as a ratio of means, the time off the cores scaled by the hint too

Cause: the mean of ratios time/hint is ruled by the smallest ops, and calls of large ops take longer as well, so the prediction was off on both ends.

--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -64,19 +64,18 @@
 class Job:
     """An op in hand, from its arrival until it is answered and off the cores."""
 
-    __slots__ = ("answered", "at", "cost", "due", "hint", "id", "kept", "key", "kind", "kind_at",
-                 "not_before", "off", "on", "op", "queued", "reached", "since", "size", "target", "tries",
-                 "want")  # fmt: skip
+    __slots__ = ("answered", "at", "away", "cost", "due", "id", "kept", "key", "kind", "not_before", "off",
+                 "on", "op", "queued", "reached", "since", "size", "target", "tries", "want")  # fmt: skip
 
-    def __init__(self, op: facts.Op, kind: facts.OpType, key: int, now: float, cost: float) -> None:
+    def __init__(self, now: float, op: facts.Op, kind: facts.OpType, key: int, *expect: float) -> None:
         self.op, self.id, self.size, self.key = op, op.id, op.size, key
-        self.kind, self.kind_at = kind, op.type
+        self.kind = kind
         self.reached = now - op.unread
         self.due = now + op.left if op.left else max(now, self.reached + kind.timeout)
         # An answer after the caller gave this try up is lost like one after the target, and the try that
         # follows stands in the line as well: without this, a short patience feeds a storm of retries.
         self.target = min(self.due, self.reached + kind.target + kind.stretch * op.hint)
-        self.cost, self.hint = cost, op.hint
+        self.cost, self.away = expect  # expected times on the cores and off them
         self.at, self.want, self.tries = At.HELD, Want.STAY, 0
         self.answered = self.kept = self.queued = False
         self.since, self.on, self.off, self.not_before = now, 0.0, 0.0, 0.0  # since: when it came to be `at`
@@ -91,31 +90,28 @@
 
 
 class Pace:
-    """Recent run times of each op type: on the cores (scaled by the hint where told) and off them."""
+    """Recent run times of each op type, on the cores and off them, scaled by the hint where told.
+
+    Means of times over means of hints: a mean of ratios is ruled by the smallest ops.
+    """
 
     def __init__(self, kinds: int) -> None:
-        self.core: list[float | None] = [None] * kinds
-        self.unit: list[float | None] = [None] * kinds
-        self.away = [0.0] * kinds
+        self.runs: list[list[float] | None] = [None] * kinds  # on the cores, off them, hint
 
     def learn(self, job: Job) -> None:
-        at = job.kind_at
-        self._blend(self.core, at, job.on)
-        if job.hint:
-            self._blend(self.unit, at, job.on / job.hint)
-        self.away[at] += NEWEST * (job.off - self.away[at])
-
-    @staticmethod
-    def _blend(row: list[float | None], at: int, value: float) -> None:
-        old = row[at]
-        row[at] = value if old is None else old + NEWEST * (value - old)
+        new, old = [job.on, job.off, job.op.hint], self.runs[job.op.type]
+        if old is None:
+            self.runs[job.op.type] = new
+        else:
+            old[:] = [was + NEWEST * (value - was) for was, value in zip(old, new, strict=True)]
 
-    def cost(self, op: facts.Op) -> float:
-        """Expected time on a core; 0 without history."""
-        unit = self.unit[op.type]
-        if op.hint and unit is not None:
-            return op.hint * unit
-        return self.core[op.type] or 0.0
+    def expect(self, op: facts.Op) -> tuple[float, float]:
+        """Expected time on a core and off it; zeros without history."""
+        mean = self.runs[op.type]
+        if mean is None:
+            return 0.0, 0.0
+        scale = op.hint / mean[2] if op.hint and mean[2] else 1.0
+        return mean[0] * scale, mean[1] * scale
 
 
 class RunLimit:
@@ -302,7 +298,7 @@
 
     def take(self, now: float, op: facts.Op) -> None:
         kind = self.kinds[op.type]
-        job = Job(op, kind, op.tenant if self.by_tenant else op.caller, now, self.pace.cost(op))
+        job = Job(now, op, kind, op.tenant if self.by_tenant else op.caller, *self.pace.expect(op))
         self.jobs[job.id] = job
         self.memory += job.size
         self.unread += NEWEST * (op.unread - self.unread)
@@ -524,23 +520,17 @@
         return self.unread + self._wait(None)
 
     def _remaining(self) -> float:
-        return sum(0.5 * (self.pace.core[kind] or 0.0) for kind in self._kinds_on_core())
-
-    def _kinds_on_core(self) -> list[int]:
-        return [job.kind_at for job in self.jobs.values() if job.at is At.ON_CORE]
+        return sum(0.5 * job.cost for job in self.jobs.values() if job.at is At.ON_CORE)
 
     def _mean_cost(self) -> float:
-        known = [value for value in self.pace.core if value]
+        known = [mean[0] for mean in self.pace.runs if mean]
         return sum(known) / len(known) if known else self.usual_target / 4
 
     def _misses(self, now: float, job: Job) -> bool:
         """Whether it is predicted to miss its target; without history nothing is."""
         if not job.cost:
             return False
-        wait, run = self._wait(job.key), job.cost + self.pace.away[job.kind_at]
-        # With a core free it takes nothing from anyone: only what surely misses is turned away. Judging a
-        # single op by the mean would nack every large op on an idle server. Harm: some run in vain.
-        return now + wait + (run if wait else SURE_MISS * run) > job.target
+        return now + self._wait(job.key) + job.cost + job.away > job.target
 
     def _away(self, now: float) -> float:
         """How long a nacked caller should stay away: until the wait is back at the set point."""
