--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -35,6 +35,9 @@
 PRESSED = 0.5  # of the usual target: the wait at which callers are told to hold back
 FLOOR_GAIN = 0.5  # a second and unit of pressure past the set point
 FLOOR_TOP = 0.9
+STORM = 0.5  # of the ops that arrive: this part being further tries, the trouble is everyone's
+SPENT = 0.9  # of a type's patience: an op with less left is a further try
+PATIENCE_FADE = 0.9995  # an op: a longest time left that is not seen again is forgotten
 ALLOW_GAIN = 2.0  # a second and unit of pressure off the set point, as part of the allowance
 ALLOW_LEAST, ALLOW_TOP = 0.02, 2.0  # of the ops that fit in hand in time, for all callers together
 
@@ -289,6 +292,7 @@
         self.changed: list[Job] = []  # ops whose wanted state moved; emptied by every settle
         self.running: dict[int, int] = {}  # ops on the cores by key; a key goes at zero
         self.on_core, self.memory, self.unread = 0, 0.0, 0.0
+        self.further, self.patience = 0.0, [0.0] * len(op_types)
         self.leave_at = self.grace_until = float("inf")
         self.out: list[act.Action] = []
         self.said: float | None = None
@@ -302,6 +306,7 @@
         self.jobs[job.id] = job
         self.memory += job.size
         self.unread += NEWEST * (op.unread - self.unread)
+        self._tell_further(op)
         heappush(self.dues, (job.due, job.id))
         first = self.jobs.get(op.repeats) if op.repeats is not None else None
         dropped = first is not None and first.want is Want.NACK  # both in this batch: it will not have run
@@ -315,6 +320,13 @@
             self.hold.add(job)
             self._wish(job, Want.STAY)
 
+    def _tell_further(self, op: facts.Op) -> None:
+        """Learn how many ops are further tries: marked, or with a part of their time already spent."""
+        time = op.left + op.unread
+        self.patience[op.type] = max(time, self.patience[op.type] * PATIENCE_FADE)
+        further = op.further or time < SPENT * self.patience[op.type]
+        self.further += NEWEST / 2 * (further - self.further)
+
     def ended(self, now: float, id: Any, outcome: Outcome) -> None:
         job = self.jobs.get(id)
         if job is None:
@@ -493,7 +505,9 @@
             if job.kept:
                 self.keys.live.pop(job.id, None)
                 self.out.append(act.Forget(job.id))
-            self.out.append(act.Nack(job.id, False, self._away(now)))
+            # Most ops being further tries, others nack as well: walking on would only feed the storm. Harm: a
+            # healthy server may be left out while the share of further tries falls again.
+            self.out.append(act.Nack(job.id, self.further > STORM, self._away(now)))
             self._off(now, job)
         elif want is Want.FAIL:
             self.out.append(act.Fail(job.id))
