--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -67,9 +67,6 @@
 class Job:
     """An op in hand, from its arrival until it is answered and off the cores."""
 
-    __slots__ = ("answered", "at", "away", "cost", "due", "id", "kept", "key", "kind", "not_before", "off",
-                 "on", "op", "queued", "reached", "since", "size", "target", "tries", "want")  # fmt: skip
-
     def __init__(self, now: float, op: facts.Op, kind: facts.OpType, key: int, *expect: float) -> None:
         self.op, self.id, self.size, self.key = op, op.id, op.size, key
         self.kind = kind
@@ -292,7 +289,7 @@
         self.changed: list[Job] = []  # ops whose wanted state moved; emptied by every settle
         self.running: dict[int, int] = {}  # ops on the cores by key; a key goes at zero
         self.on_core, self.memory, self.unread = 0, 0.0, 0.0
-        self.further, self.patience = 0.0, [0.0] * len(op_types)
+        self.storm, self.patience = 0.0, [0.0] * len(op_types)
         self.leave_at = self.grace_until = float("inf")
         self.out: list[act.Action] = []
         self.said: float | None = None
@@ -306,7 +303,7 @@
         self.jobs[job.id] = job
         self.memory += job.size
         self.unread += NEWEST * (op.unread - self.unread)
-        self._tell_further(op)
+        job.further = self._further(op)
         heappush(self.dues, (job.due, job.id))
         first = self.jobs.get(op.repeats) if op.repeats is not None else None
         dropped = first is not None and first.want is Want.NACK  # both in this batch: it will not have run
@@ -320,12 +317,13 @@
             self.hold.add(job)
             self._wish(job, Want.STAY)
 
-    def _tell_further(self, op: facts.Op) -> None:
-        """Learn how many ops are further tries: marked, or with a part of their time already spent."""
+    def _further(self, op: facts.Op) -> bool:
+        """Whether it is a further try: marked, or a part of its time is spent; learns how many are."""
         time = op.left + op.unread
         self.patience[op.type] = max(time, self.patience[op.type] * PATIENCE_FADE)
         further = op.further or time < SPENT * self.patience[op.type]
-        self.further += NEWEST / 2 * (further - self.further)
+        self.storm += NEWEST / 2 * (further - self.storm)
+        return further
 
     def ended(self, now: float, id: Any, outcome: Outcome) -> None:
         job = self.jobs.get(id)
@@ -505,9 +503,9 @@
             if job.kept:
                 self.keys.live.pop(job.id, None)
                 self.out.append(act.Forget(job.id))
-            # Most ops being further tries, others nack as well: walking on would only feed the storm. Harm: a
-            # healthy server may be left out while the share of further tries falls again.
-            self.out.append(act.Nack(job.id, self.further > STORM, self._away(now)))
+            # Turned away elsewhere before, and most ops are: others nack as well, and walking on would only
+            # feed the storm. Harm: a server that is still sound may be left out until the storm has passed.
+            self.out.append(act.Nack(job.id, job.further and self.storm > STORM, self._away(now)))
             self._off(now, job)
         elif want is Want.FAIL:
             self.out.append(act.Fail(job.id))
