A further try is told by its time left only where that is stated

Guards against storms of tries whatever starts them; harm: a sound server may be left out until the storm has passed.

--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -319,9 +319,11 @@
 
     def _further(self, op: facts.Op) -> bool:
         """Whether it is a further try: marked, or a part of its time is spent; learns how many are."""
-        time = op.left + op.unread
-        self.patience[op.type] = max(time, self.patience[op.type] * PATIENCE_FADE)
-        further = op.further or time < SPENT * self.patience[op.type]
+        further = op.further
+        if op.left:
+            time = op.left + op.unread
+            self.patience[op.type] = max(time, self.patience[op.type] * PATIENCE_FADE)
+            further = further or time < SPENT * self.patience[op.type]
         self.storm += NEWEST / 2 * (further - self.storm)
         return further
 
