While pressed, the more important held ops start first

Guards against any overload with unequal op types; harm: what matters least waits longest and is nacked for it.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -26,6 +26,45 @@
                 server.settle()
                 self.assertEqual(sorted(server.ids(Act.Run)), started)
 
+    def test_importance_goes_first_only_under_pressure(self) -> None:
+        for pressed, started in [(False, [0, 1, 2, 3]), (True, [0, 1, 4, 5])]:
+            with self.subTest(pressed=pressed):
+                server = Server()
+                server.yoke.hold.pressed = pressed
+                for id, kind in enumerate([2, 2, 0, 0, 2, 2]):
+                    server.now += 0.001
+                    server.op(id, type=kind)
+                server.settle()
+                self.assertEqual(sorted(server.ids(Act.Run)), started)
+
+    def test_unread_backlog_is_pressure(self) -> None:
+        """A server that reads too late holds nothing, and must not look idle for it."""
+        server = Server(callers={"signal": facts.Signal.ALLOWANCE})
+        server.learned(0.5)
+        said = []
+        for id in range(60):
+            server.op(id, unread=1.9)
+            server.settle()
+            said += [did.value for did in server.beat() if isinstance(did, Act.Say)]
+        self.assertLess(said[-1], said[0] / 2)
+
+    def test_patience_bounds_the_target(self) -> None:
+        server = Server()
+        server.learned(0.5)
+        server.op(1, left=0.4)
+        server.op(2, left=0.6)
+        server.settle()
+        self.assertEqual((server.ids(Act.Nack), server.ids(Act.Run)), ([1], [2]))
+
+    def test_only_further_tries_in_a_storm_are_asked_not_to_walk_on(self) -> None:
+        for lefts, last in [([6.0] * 60, False), ([6.0] + [1.0] * 60, True)]:
+            with self.subTest(last=last):
+                server = Server(machine={"memory": 1.0})
+                for id, left in enumerate(lefts):
+                    server.op(id, left=left)
+                server.settle()
+                self.assertEqual(server.did[-1].nowhere_else, last)
+
     def test_tenant_is_the_key_where_told(self) -> None:
         server = Server(tenants=(facts.Tenant(0.5, 10.0), facts.Tenant(0.5, 10.0)))
         for id in range(5):
--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -69,7 +69,7 @@
 
     def __init__(self, now: float, op: facts.Op, kind: facts.OpType, key: int, *expect: float) -> None:
         self.op, self.id, self.size, self.key = op, op.id, op.size, key
-        self.kind = kind
+        self.kind, self.line = kind, (key, kind.importance)
         self.reached = now - op.unread
         self.due = now + op.left if op.left else max(now, self.reached + kind.timeout)
         # An answer after the caller gave this try up is lost like one after the target, and the try that
@@ -141,34 +141,38 @@
 
 
 class Hold:
-    """Held ops, oldest first, a line for each key. A line goes when it is empty."""
+    """Held ops, oldest first, a line for each key and importance. A line goes when it is empty."""
 
     def __init__(self) -> None:
-        self.lines: dict[int, deque[Job]] = {}
-        self.work: dict[int, float] = {}  # expected run time held, by key; goes with the line
+        self.lines: dict[tuple[int, float], deque[Job]] = {}
+        self.work: dict[tuple[int, float], float] = {}  # expected run time held, by line; goes with it
         self.count = 0
+        self.pressed = False  # some must miss: the more important ops are started first
 
     def add(self, job: Job) -> None:
         job.queued = True
-        self.lines.setdefault(job.key, deque()).append(job)
-        self.work[job.key] = self.work.get(job.key, 0.0) + job.cost
+        self.lines.setdefault(job.line, deque()).append(job)
+        self.work[job.line] = self.work.get(job.line, 0.0) + job.cost
         self.count += 1
 
     def drop(self, job: Job) -> None:
         """Take one out, from wherever it stands."""
         job.queued = False
-        line = self.lines[job.key]
+        line = self.lines[job.line]
         if line[0] is job:
             line.popleft()
         else:
             line.remove(job)
         self.count -= 1
-        self.work[job.key] -= job.cost
+        self.work[job.line] -= job.cost
         if not line:
-            del self.lines[job.key], self.work[job.key]
+            del self.lines[job.line], self.work[job.line]
 
-    def total(self) -> float:
-        return sum(self.work.values())
+    def ahead(self, importance: float = 0.0, key: int | None = None) -> float:
+        """Expected run time held before a new op of this importance, of one key only where it is named."""
+        least = importance if self.pressed else 0.0
+        return sum(work for line, work in self.work.items()
+                   if line[1] >= least and (key is None or key == line[0]))  # fmt: skip
 
     def __iter__(self) -> Iterator[Job]:
         for line in list(self.lines.values()):
@@ -177,11 +181,11 @@
     def next(self, running: dict[int, int], share: float) -> Job | None:
         """The oldest op of a key within its share; else the slot is lent to the oldest."""
         best: Job | None = None
-        best_over = True
-        for key, line in self.lines.items():
-            head, over = line[0], running.get(key, 0) + 1 > share
-            if best is None or (over, head.reached) < (best_over, best.reached):
-                best, best_over = head, over
+        least: tuple[bool, float, float] = (True, 0.0, 0.0)
+        for (key, importance), line in self.lines.items():
+            rank = (running.get(key, 0) + 1 > share, -importance if self.pressed else 0.0, line[0].reached)
+            if best is None or rank < least:
+                best, least = line[0], rank
         return best
 
 
@@ -281,6 +285,7 @@
         self.by_tenant = bool(tenants)
         self.beat = max(duty.answer_slack, 8 * machine.tick)
         self.usual_target = sum(kind.target for kind in op_types) / len(op_types)
+        self.least_target = min(kind.target for kind in op_types)
         self.pace, self.hold = Pace(len(op_types)), Hold()
         self.limit, self.calls = RunLimit(machine.cores, now, survival), Calls(dependency, now)
         self.keys, self.voice = Keys(machine.key_size), Voice(callers.signal, callers.count)
@@ -399,6 +404,9 @@
         for job in self.hold:
             if now + SURE_MISS * job.cost > job.target:
                 self._wish(job, Want.NACK)
+        # Where some must miss, oldest first spends the cores on whoever asked first, and short targets are
+        # never met behind long ones. Harm: what matters least waits longest, and is nacked for it.
+        self.hold.pressed = self._queueing() > PRESSED * self.least_target
         mean = max(1e-3, self._mean_cost())
         room = self.limit.limit * self.usual_target / mean
         value = self.voice.value(span, self._queueing() / (PRESSED * self.usual_target), room)
@@ -518,20 +526,20 @@
 
     # The wait estimate.
 
-    def _wait(self, key: int | None) -> float:
+    def _wait(self, key: int | None = None, importance: float = 0.0) -> float:
         """Predicted wait of a new op: work ahead over the slots, or its key's own line over its share."""
         limit = self.limit.limit
         if self.on_core + 1 <= limit and not self.hold.count:
             return 0.0
-        ahead = self.hold.total()
+        ahead = self.hold.ahead(importance)
         if key is not None:
-            ahead = min(ahead, self.hold.work.get(key, 0.0) * limit / max(1.0, limit * SHARE))
+            ahead = min(ahead, self.hold.ahead(importance, key) * limit / max(1.0, limit * SHARE))
         return (ahead + self._remaining()) / limit
 
     def _queueing(self) -> float:
         """What an op spends waiting here, read or not. A server that reads too late to run anything holds
         nothing: without the time unread it would look idle and go on inviting ops that it can only nack."""
-        return self.unread + self._wait(None)
+        return self.unread + self._wait()
 
     def _remaining(self) -> float:
         return sum(0.5 * job.cost for job in self.jobs.values() if job.at is At.ON_CORE)
@@ -544,7 +552,7 @@
         """Whether it is predicted to miss its target; without history nothing is."""
         if not job.cost:
             return False
-        return now + self._wait(job.key) + job.cost + job.away > job.target
+        return now + self._wait(*job.line) + job.cost + job.away > job.target
 
     def _away(self, now: float) -> float:
         """How long a nacked caller should stay away: until the wait is back at the set point."""
