--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -27,6 +27,7 @@
 GROW, SHRINK = 2.0, 0.5  # cores a core and second by which the run limit grows and backs off
 IDLE_BUSY, FULL_BUSY = 0.9, 0.97  # cores idle below the first gauge value, saturated above the second
 NEWEST = 0.1  # weight of the newest value in recent run times and times unread
+MARGIN = 1.0  # of the mean error in run times: added to the expected run before an op is taken
 SURE_MISS = 0.5  # a held op is stale when this part of its expected run no longer fits
 CALL_FILL = 0.85  # of `fair_calls`: the most calls that are out, lingering ones included
 SLOW_CALLS = 2.5  # calls are slow past this multiple of their quick times
@@ -75,7 +76,7 @@
         # An answer after the caller gave this try up is lost like one after the target, and the try that
         # follows stands in the line as well: without this, a short patience feeds a storm of retries.
         self.target = min(self.due, self.reached + kind.target + kind.stretch * op.hint)
-        self.cost, self.away = expect  # expected times on the cores and off them
+        self.cost, self.away, self.spread = expect  # expected times on the cores and off, and the error in it
         self.at, self.want, self.tries = At.HELD, Want.STAY, 0
         self.answered = self.kept = self.queued = False
         self.since, self.on, self.off, self.not_before = now, 0.0, 0.0, 0.0  # since: when it came to be `at`
@@ -96,22 +97,23 @@
     """
 
     def __init__(self, kinds: int) -> None:
-        self.runs: list[list[float] | None] = [None] * kinds  # on the cores, off them, hint
+        self.runs: list[list[float] | None] = [None] * kinds  # on the cores, off them, spread, hint
 
     def learn(self, job: Job) -> None:
-        new, old = [job.on, job.off, job.op.hint], self.runs[job.op.type]
+        spread = abs(job.on + job.off - job.cost - job.away) if job.cost else 0.0
+        new, old = [job.on, job.off, spread, job.op.hint], self.runs[job.op.type]
         if old is None:
             self.runs[job.op.type] = new
         else:
             old[:] = [was + NEWEST * (value - was) for was, value in zip(old, new, strict=True)]
 
-    def expect(self, op: facts.Op) -> tuple[float, float]:
-        """Expected time on a core and off it; zeros without history."""
+    def expect(self, op: facts.Op) -> list[float]:
+        """Expected time on a core and off it, and how far off that is on average; zeros without history."""
         mean = self.runs[op.type]
         if mean is None:
-            return 0.0, 0.0
-        scale = op.hint / mean[2] if op.hint and mean[2] else 1.0
-        return mean[0] * scale, mean[1] * scale
+            return [0.0, 0.0, 0.0]
+        scale = op.hint / mean[3] if op.hint and mean[3] else 1.0
+        return [value * scale for value in mean[:3]]
 
 
 class RunLimit:
@@ -552,7 +554,8 @@
         """Whether it is predicted to miss its target; without history nothing is."""
         if not job.cost:
             return False
-        return now + self._wait(*job.line) + job.cost + job.away > job.target
+        # At the mean, an overloaded server would settle where half of all runs end too late: work for nobody.
+        return now + self._wait(*job.line) + job.cost + job.away + MARGIN * job.spread > job.target
 
     def _away(self, now: float) -> float:
         """How long a nacked caller should stay away: until the wait is back at the set point."""
