--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -27,7 +27,6 @@
 GROW, SHRINK = 2.0, 0.5  # cores a core and second by which the run limit grows and backs off
 IDLE_BUSY, FULL_BUSY = 0.9, 0.97  # cores idle below the first gauge value, saturated above the second
 NEWEST = 0.1  # weight of the newest value in recent run times and times unread
-MARGIN = 1.0  # of the mean error in run times: added to the expected run before an op is taken
 SURE_MISS = 0.5  # a held op is stale when this part of its expected run no longer fits
 CALL_FILL = 0.85  # of `fair_calls`: the most calls that are out, lingering ones included
 SLOW_CALLS = 2.5  # calls are slow past this multiple of their quick times
@@ -555,7 +554,9 @@
         if not job.cost:
             return False
         # At the mean, an overloaded server would settle where half of all runs end too late: work for nobody.
-        return now + self._wait(*job.line) + job.cost + job.away + MARGIN * job.spread > job.target
+        # The margin is no larger than the wait: with cores free a refusal would win nothing for others.
+        wait = self._wait(*job.line)
+        return now + wait + min(wait, job.spread) + job.cost + job.away > job.target
 
     def _away(self, now: float) -> float:
         """How long a nacked caller should stay away: until the wait is back at the set point."""
