--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -75,7 +75,7 @@
         # An answer after the caller gave this try up is lost like one after the target, and the try that
         # follows stands in the line as well: without this, a short patience feeds a storm of retries.
         self.target = min(self.due, self.reached + kind.target + kind.stretch * op.hint)
-        self.cost, self.away, self.spread = expect  # expected times on the cores and off, and the error in it
+        self.cost, self.away = expect  # expected times on the cores and off them
         self.at, self.want, self.tries = At.HELD, Want.STAY, 0
         self.answered = self.kept = self.queued = False
         self.since, self.on, self.off, self.not_before = now, 0.0, 0.0, 0.0  # since: when it came to be `at`
@@ -96,23 +96,22 @@
     """
 
     def __init__(self, kinds: int) -> None:
-        self.runs: list[list[float] | None] = [None] * kinds  # on the cores, off them, spread, hint
+        self.runs: list[list[float] | None] = [None] * kinds  # on the cores, off them, hint
 
     def learn(self, job: Job) -> None:
-        spread = abs(job.on + job.off - job.cost - job.away) if job.cost else 0.0
-        new, old = [job.on, job.off, spread, job.op.hint], self.runs[job.op.type]
+        new, old = [job.on, job.off, job.op.hint], self.runs[job.op.type]
         if old is None:
             self.runs[job.op.type] = new
         else:
             old[:] = [was + NEWEST * (value - was) for was, value in zip(old, new, strict=True)]
 
-    def expect(self, op: facts.Op) -> list[float]:
-        """Expected time on a core and off it, and how far off that is on average; zeros without history."""
+    def expect(self, op: facts.Op) -> tuple[float, float]:
+        """Expected time on a core and off it; zeros without history."""
         mean = self.runs[op.type]
         if mean is None:
-            return [0.0, 0.0, 0.0]
-        scale = op.hint / mean[3] if op.hint and mean[3] else 1.0
-        return [value * scale for value in mean[:3]]
+            return 0.0, 0.0
+        scale = op.hint / mean[2] if op.hint and mean[2] else 1.0
+        return mean[0] * scale, mean[1] * scale
 
 
 class RunLimit:
@@ -553,10 +552,7 @@
         """Whether it is predicted to miss its target; without history nothing is."""
         if not job.cost:
             return False
-        # At the mean, an overloaded server would settle where half of all runs end too late: work for nobody.
-        # The margin is no larger than the wait: with cores free a refusal would win nothing for others.
-        wait = self._wait(*job.line)
-        return now + wait + min(wait, job.spread) + job.cost + job.away > job.target
+        return now + self._wait(*job.line) + job.cost + job.away > job.target
 
     def _away(self, now: float) -> float:
         """How long a nacked caller should stay away: until the wait is back at the set point."""
