Runs that nobody waits for any more are stopped where that can be done

Guards against all that makes runs late (slow cores, a neighbour, hangs); harm: late answers that clients would still have taken are cut, where the op type says that they earn nothing.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -191,6 +191,16 @@
         self.assertEqual((server.yoke.on_core, server.yoke.memory), (0, 0.0))
 
 
+    def test_a_run_for_nobody_frees_its_core_where_it_can(self) -> None:
+        for kind, halt, stopped in [(0, "PAUSE", [1]), (0, "NOTHING", []), (1, "PAUSE", [])]:
+            with self.subTest(kind=kind, halt=halt):
+                server = Server(machine={"halt": facts.Halt[halt]})
+                server.op(1, type=kind, left=0.05)
+                server.settle()
+                server.beat()
+                self.assertEqual((server.ids(Act.Pause), server.ids(Act.Fail)), (stopped, [1]))
+
+
 class CallsBelow(unittest.TestCase):
     def blocked(self, server: Server, *types: int) -> None:
         for id, type in enumerate(types):
--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -62,6 +62,7 @@
     REUSE = 4
     NACK = 5
     FAIL = 6
+    STOP = 7  # fail it and free its core
 
 
 class Job:
@@ -383,6 +384,8 @@
         if job.at in (At.HELD, At.REUSING):
             self._off(now, job)
         else:
+            if self._stops(job):
+                self.out.append(act.Pause(id))
             self._answered(job)
 
     def leave(self, now: float, left: float) -> None:
@@ -404,6 +407,10 @@
         for job in self.hold:
             if now + SURE_MISS * job.cost > job.target:
                 self._wish(job, Want.NACK)
+        if self.hold.count:  # a run past its target earns nothing, and others wait for its core
+            for job in list(self.jobs.values()):
+                if now > job.target and not job.answered and not job.kind.late_share and self._stops(job):
+                    self._wish(job, Want.STOP)
         # Where some must miss, oldest first spends the cores on whoever asked first, and short targets are
         # never met behind long ones. Harm: what matters least waits longest, and is nacked for it.
         self.hold.pressed = self._queueing() > PRESSED * self.least_target
@@ -517,7 +524,9 @@
             # feed the storm. Harm: a server that is still sound may be left out until the storm has passed.
             self.out.append(act.Nack(job.id, job.further and self.storm > STORM, self._away(now)))
             self._off(now, job)
-        elif want is Want.FAIL:
+        elif want >= Want.FAIL:
+            if want is Want.STOP:
+                self.out.append(act.Pause(job.id))
             self.out.append(act.Fail(job.id))
             if job.at in (At.HELD, At.REUSING):
                 self._off(now, job)
@@ -578,8 +587,18 @@
     def _give_up(self, id: Any) -> None:
         """Its answer is due: what never ran is nacked, the rest fails."""
         job = self.jobs.get(id)
-        if job is not None and not job.answered:
-            self._wish(job, Want.NACK if job.at is At.HELD and job.want is not Want.REUSE else Want.FAIL)
+        if job is None or job.answered:
+            return
+        if job.at is At.HELD and job.want is not Want.REUSE:
+            self._wish(job, Want.NACK)
+        else:
+            self._wish(job, Want.STOP if self._stops(job) else Want.FAIL)
+
+    def _stops(self, job: Job) -> bool:
+        """Whether its run can and should be stopped once nobody waits: it would hold a core for nobody.
+        An op with an effect runs on, for its repeats are answered by its end."""
+        return (job.at is At.ON_CORE and job.kind.repeat is Repeat.RETRYABLE
+                and self.machine.halt is not facts.Halt.NOTHING)  # fmt: skip
 
     def _answered(self, job: Job) -> None:
         """Answered while running: it keeps its core and memory until its run ends."""
