A keyed op is started only when likely to end in time

Cause: a keyed op that ends after its answer can't be tried again here: every repeat within its window gets the failed run's answer (430 of 470 repeats in 5 s of the bookings incident). Guards against any wait that eats a keyed op's time; harm: with erratic run times it nacks early.

--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -76,7 +76,7 @@
         # An answer after the caller gave this try up is lost like one after the target, and the try that
         # follows stands in the line as well: without this, a short patience feeds a storm of retries.
         self.target = min(self.due, self.reached + kind.target + kind.stretch * op.hint)
-        self.cost, self.away = expect  # expected times on the cores and off them
+        self.cost, self.away, self.spread = expect  # times on the cores and off, the error in them
         self.at, self.want, self.tries = At.HELD, Want.STAY, 0
         self.answered = self.kept = self.queued = False
         self.since, self.on, self.off, self.not_before = now, 0.0, 0.0, 0.0  # since: when it came to be `at`
@@ -97,22 +97,23 @@
     """
 
     def __init__(self, kinds: int) -> None:
-        self.runs: list[list[float] | None] = [None] * kinds  # on the cores, off them, hint
+        self.runs: list[list[float] | None] = [None] * kinds  # on the cores, off them, spread, hint
 
     def learn(self, job: Job) -> None:
-        new, old = [job.on, job.off, job.op.hint], self.runs[job.op.type]
+        spread = abs(job.on + job.off - job.cost - job.away) if job.cost else 0.0
+        new, old = [job.on, job.off, spread, job.op.hint], self.runs[job.op.type]
         if old is None:
             self.runs[job.op.type] = new
         else:
             old[:] = [was + NEWEST * (value - was) for was, value in zip(old, new, strict=True)]
 
-    def expect(self, op: facts.Op) -> tuple[float, float]:
-        """Expected time on a core and off it; zeros without history."""
+    def expect(self, op: facts.Op) -> list[float]:
+        """Expected time on a core and off it, and how far off that is on average; zeros without history."""
         mean = self.runs[op.type]
         if mean is None:
-            return 0.0, 0.0
-        scale = op.hint / mean[2] if op.hint and mean[2] else 1.0
-        return mean[0] * scale, mean[1] * scale
+            return [0.0, 0.0, 0.0]
+        scale = op.hint / mean[3] if op.hint and mean[3] else 1.0
+        return [value * scale for value in mean[:3]]
 
 
 class RunLimit:
@@ -405,7 +406,7 @@
             for job in list(self.jobs.values()):
                 self._give_up(job.id)
         for job in self.hold:
-            if now + SURE_MISS * job.cost > job.target:
+            if self._stale(now, job):
                 self._wish(job, Want.NACK)
         if self.hold.count:  # a run past its target earns nothing, and others wait for its core
             for job in list(self.jobs.values()):
@@ -447,7 +448,7 @@
             job = self.hold.next(self.running, max(1.0, limit * SHARE))
             if job is None:
                 break
-            if now + SURE_MISS * job.cost > job.target:
+            if self._stale(now, job):
                 self._wish(job, Want.NACK)
                 continue
             more = job.size * (self.machine.run_factor - 1)
@@ -561,7 +562,15 @@
         """Whether it is predicted to miss its target; without history nothing is."""
         if not job.cost:
             return False
-        return now + self._wait(*job.line) + job.cost + job.away > job.target
+        # A keyed op that ends too late cannot be tried again here: its repeats get the failed run's answer.
+        wait = self._wait(*job.line)
+        margin = min(wait, job.spread) if job.kind.repeat is Repeat.KEYED else 0.0
+        return now + wait + margin + job.cost + job.away > job.target
+
+    def _stale(self, now: float, job: Job) -> bool:
+        """Whether a held op has passed its target, or surely will; a keyed op must be likely to make it."""
+        keyed = job.kind.repeat is Repeat.KEYED
+        return now + (job.cost + job.away if keyed else SURE_MISS * job.cost) > job.target
 
     def _away(self, now: float) -> float:
         """How long a nacked caller should stay away: until the wait is back at the set point."""
