One place moves an op and books what it holds; keys are reserved on arrival

Keys count against memory from the arrival on, so that many arrivals in one batch cannot overfill it.

--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterator
 from enum import IntEnum
 from heapq import heappop, heappush
+from itertools import chain
 from random import Random
 from typing import Any
 
@@ -42,27 +43,10 @@
 ALLOW_LEAST, ALLOW_TOP = 0.02, 2.0  # of the ops that fit in hand in time, for all callers together
 
 
-class At(IntEnum):
-    """Where an op in hand is."""
-
-    HELD = 0
-    ON_CORE = 1
-    AT_CALL = 2
-    CALLING = 3
-    REUSING = 4
-
-
-class Want(IntEnum):
-    """What an op in hand should do next; STAY asks for nothing."""
-
-    STAY = 0
-    RUN = 1
-    CALL = 2
-    GO_ON = 3
-    REUSE = 4
-    NACK = 5
-    FAIL = 6
-    STOP = 7  # fail it and free its core
+# Where an op in hand is, and what it should do next. STAY asks for nothing; from NACK on wants are final
+# answers, and STOP also frees the core.
+At = IntEnum("At", "HELD ON_CORE AT_CALL CALLING REUSING GONE")
+Want = IntEnum("Want", "STAY RUN CALL GO_ON REUSE NACK FAIL STOP")
 
 
 class Job:
@@ -77,18 +61,10 @@
         # follows stands in the line as well: without this, a short patience feeds a storm of retries.
         self.target = min(self.due, self.reached + kind.target + kind.stretch * op.hint)
         self.cost, self.away, self.spread = expect  # times on the cores and off, the error in them
-        self.at, self.want, self.tries = At.HELD, Want.STAY, 0
-        self.answered = self.kept = self.queued = False
+        self.at, self.want, self.tries, self.keep_span = At.HELD, Want.STAY, 0, 0.0
+        self.answered = self.kept = self.queued = self.further = False
         self.since, self.on, self.off, self.not_before = now, 0.0, 0.0, 0.0  # since: when it came to be `at`
 
-    def move(self, now: float, at: At) -> None:
-        """Book the time spent where it was, on the cores or off them."""
-        if self.at is At.ON_CORE:
-            self.on += now - self.since
-        elif self.at in (At.AT_CALL, At.CALLING):
-            self.off += now - self.since
-        self.at, self.since = at, now
-
 
 class Pace:
     """Recent run times of each op type, on the cores and off them, scaled by the hint where told.
@@ -101,11 +77,9 @@
 
     def learn(self, job: Job) -> None:
         spread = abs(job.on + job.off - job.cost - job.away) if job.cost else 0.0
-        new, old = [job.on, job.off, spread, job.op.hint], self.runs[job.op.type]
-        if old is None:
-            self.runs[job.op.type] = new
-        else:
-            old[:] = [was + NEWEST * (value - was) for was, value in zip(old, new, strict=True)]
+        new = [job.on, job.off, spread, job.op.hint]
+        old = self.runs[job.op.type] or new
+        self.runs[job.op.type] = [a + NEWEST * (b - a) for a, b in zip(old, new, strict=True)]
 
     def expect(self, op: facts.Op) -> list[float]:
         """Expected time on a core and off it, and how far off that is on average; zeros without history."""
@@ -126,18 +100,16 @@
     def ceiling(self, now: float) -> float:
         """The crowd that is sure to be survived: the lower bound of warmth counts while cold."""
         s, warm = self.survival, 1.0
-        if s.cold and s.cold_span > 0:
-            warm = min(1.0, s.cold_share + (1 - s.cold_share) * (now - self.born) / s.cold_span)
+        if s.cold and now < self.born + s.cold_span:
+            warm = s.cold_share + (1 - s.cold_share) * (now - self.born) / s.cold_span
         return max(1.0, self.cores * (1 + (s.crowd - 1) * warm) * CROWD_FILL)
 
     def adapt(self, now: float, busy: float | None, on_core: int, held: bool) -> None:
         """Grow while cores idle and work is held; with the cores full, running more finishes no more."""
         span, self.changed = now - self.changed, now
-        if busy is None:
-            return
-        if held and busy < IDLE_BUSY and on_core >= int(self.limit):
+        if busy is not None and held and busy < IDLE_BUSY and on_core >= int(self.limit):
             self.limit += GROW * self.cores * span
-        elif busy > FULL_BUSY or not held:
+        elif busy is None or busy > FULL_BUSY or not held:
             self.limit -= SHRINK * self.cores * span
         self.limit = min(max(self.limit, self.cores), self.ceiling(now))
 
@@ -161,10 +133,7 @@
         """Take one out, from wherever it stands."""
         job.queued = False
         line = self.lines[job.line]
-        if line[0] is job:
-            line.popleft()
-        else:
-            line.remove(job)
+        line.remove(job)
         self.count -= 1
         self.work[job.line] -= job.cost
         if not line:
@@ -177,8 +146,7 @@
                    if line[1] >= least and (key is None or key == line[0]))  # fmt: skip
 
     def __iter__(self) -> Iterator[Job]:
-        for line in list(self.lines.values()):
-            yield from list(line)
+        return chain.from_iterable(self.lines.values())
 
     def next(self, running: dict[int, int], share: float) -> Job | None:
         """The oldest op of a key within its share; else the slot is lent to the oldest."""
@@ -220,39 +188,34 @@
         return hands == 0 and self.mean < self.bound / 2
 
     def learn(self, took: float) -> None:
-        self.recent += 0.2 * (took - self.recent) if self.quick is not None else took
-        if self.quick is None or took < self.quick:
-            self.quick = took
-        else:
-            self.quick += 0.01 * (took - self.quick)
-
-    def slow(self) -> bool:
-        return self.quick is not None and self.recent > SLOW_CALLS * self.quick
+        if self.quick is None:
+            self.quick = self.recent = took
+        self.recent += 2 * NEWEST * (took - self.recent)
+        self.quick = min(took, self.quick + NEWEST / 10 * (took - self.quick))
 
     def order(self) -> None:
         """Oldest first; by importance when calls below are slow."""
-        if self.slow():
-            self.waiting.sort(key=lambda job: (-job.kind.importance, job.reached))
-        else:
-            self.waiting.sort(key=lambda job: job.reached)
+        slow = self.quick is not None and self.recent > SLOW_CALLS * self.quick
+        self.waiting.sort(key=lambda job: (-job.kind.importance if slow else 0.0, job.reached))
 
 
 class Keys:
     """Retained repeats and their memory; entries go when their window has passed."""
 
     def __init__(self, size: float) -> None:
-        self.size, self.live, self.ends = size, {}, []  # type: float, dict[Any, float], list[tuple[float, Any]]
+        self.size, self.live = size, set[Any]()
+        self.ends: list[tuple[float, Any]] = []
 
     def memory(self) -> float:
         return len(self.live) * self.size
 
-    def keep(self, now: float, job: Job, span: float) -> None:
-        self.live[job.id] = now + span
-        heappush(self.ends, (now + span, job.id))
+    def keep(self, now: float, job: Job) -> None:
+        self.live.add(job.id)
+        heappush(self.ends, (now + job.keep_span, job.id))
 
     def expire(self, now: float) -> None:
         while self.ends and self.ends[0][0] < now:
-            self.live.pop(heappop(self.ends)[1], None)
+            self.live.discard(heappop(self.ends)[1])
 
 
 class Voice:
@@ -268,8 +231,8 @@
             self.floor = min(FLOOR_TOP, max(0.0, self.floor + span * FLOOR_GAIN * (pressure - 1)))
             return round(self.floor, 2)
         if self.signal is Signal.ALLOWANCE:
-            part = self.part * (1 + span * ALLOW_GAIN * max(-1.0, min(1.0, 1 - pressure)))
-            self.part = min(ALLOW_TOP, max(ALLOW_LEAST, part))
+            self.part *= 1 + span * ALLOW_GAIN * max(-1.0, min(1.0, 1 - pressure))
+            self.part = min(ALLOW_TOP, max(ALLOW_LEAST, self.part))
             return round(self.part * room / self.callers, 1)
         if self.signal is Signal.WEIGHT:
             return round(min(1.0, max(0.1, 1.5 - pressure / 2)), 2)
@@ -302,92 +265,69 @@
         self.said: float | None = None
         self.begun = False
 
-    # What happens.
-
     def take(self, now: float, op: facts.Op) -> None:
         kind = self.kinds[op.type]
         job = Job(now, op, kind, op.tenant if self.by_tenant else op.caller, *self.pace.expect(op))
-        self.jobs[job.id] = job
+        if kind.repeat is Repeat.KEYED:
+            job.keep_span = kind.key_window
+        elif self.callers.fresh and kind.repeat is Repeat.RETRYABLE and op.subject and not op.write:
+            job.keep_span = kind.timeout + self.callers.fresh
+        self.jobs[job.id], job.further = job, self._further(op)
         self.memory += job.size
         self.unread += NEWEST * (op.unread - self.unread)
-        job.further = self._further(op)
         heappush(self.dues, (job.due, job.id))
-        first = self.jobs.get(op.repeats) if op.repeats is not None else None
+        first = self.jobs.get(op.repeats)
         dropped = first is not None and first.want is Want.NACK  # both in this batch: it will not have run
-        if op.repeats is not None and not dropped and (kind.repeat is Repeat.KEYED or self.callers.fresh):
+        full = self._room() < (self.machine.key_size if job.keep_span else 0.0)
+        closing = job.reached > self.grace_until or now > self.leave_at - job.cost - 2 * self.beat
+        if op.repeats is not None and not dropped and job.keep_span:
             self._wish(job, Want.REUSE)
-        elif job.reached > self.grace_until or now > self.leave_at - job.cost - 2 * self.beat:
-            self._wish(job, Want.NACK)
-        elif self._misses(now, job) or not self._fits(job):
+        elif closing or self._misses(now, job) or full:
             self._wish(job, Want.NACK)
         else:
             self.hold.add(job)
+            if job.keep_span:
+                self.keys.keep(now, job)
             self._wish(job, Want.STAY)
 
-    def _further(self, op: facts.Op) -> bool:
-        """Whether it is a further try: marked, or a part of its time is spent; learns how many are."""
-        further = op.further
-        if op.left:
-            time = op.left + op.unread
-            self.patience[op.type] = max(time, self.patience[op.type] * PATIENCE_FADE)
-            further = further or time < SPENT * self.patience[op.type]
-        self.storm += NEWEST / 2 * (further - self.storm)
-        return further
-
     def ended(self, now: float, id: Any, outcome: Outcome) -> None:
-        job = self.jobs.get(id)
-        if job is None:
-            return
-        if outcome in (Outcome.OK, Outcome.ERROR) and job.at is At.ON_CORE:
-            job.on += now - job.since
-            self.pace.learn(job)
-        self._off(now, job)
+        if job := self.jobs.get(id):
+            ran = job.at is At.ON_CORE and outcome in (Outcome.OK, Outcome.ERROR)
+            self._move(now, job, At.GONE)
+            if ran:
+                self.pace.learn(job)
 
     def blocked(self, now: float, id: Any) -> None:
-        job = self.jobs.get(id)
-        if job is None:
-            return
-        self._leave_core(job)
-        job.move(now, At.AT_CALL)
-        job.tries, job.not_before = 0, 0.0
-        if not job.answered:
+        if job := self.jobs.get(id):
+            self._move(now, job, At.AT_CALL)
+            job.tries, job.not_before = 0, 0.0
             self.calls.waiting.append(job)
 
     def called(self, now: float, id: Any, outcome: Outcome, took: float) -> None:
         job = self.jobs.get(id)
         if job is None or job.at is not At.CALLING:
             return
-        self.calls.out -= 1
+        self._move(now, job, At.ON_CORE if outcome is Outcome.OK else At.AT_CALL)
         if outcome is Outcome.TIMEOUT:
             self.calls.lingering.append(now + self.calls.linger_span)
-        if outcome not in (Outcome.FULL, Outcome.UNREACHED):
+        if outcome not in facts.NEVER_RAN:
             self.calls.learn(took)
         if outcome is Outcome.OK:
-            job.move(now, At.ON_CORE)
-            self._enter_core(job)
-            return
-        job.move(now, At.AT_CALL)
-        if job.answered:
             return
         may_repeat = job.kind.repeat is Repeat.RETRYABLE or outcome in facts.NEVER_RAN
         if may_repeat and job.tries < CALL_TRIES:
-            wait = BACKOFF * job.kind.target * 2 ** (job.tries - 1) * self.random.uniform(0.5, 1)
-            job.not_before = now + wait
+            wait = BACKOFF * job.kind.target * 2 ** (job.tries - 1)
+            job.not_before = now + wait * self.random.uniform(0.5, 1)
             self.calls.waiting.append(job)
         else:
             self._wish(job, Want.GO_ON if job.kind.poorer_share > 0 else Want.FAIL)
 
     def gone(self, now: float, id: Any) -> None:
         """Nobody waits: what is not on the cores has vanished, the rest owes no answer."""
-        job = self.jobs.get(id)
-        if job is None:
-            return
-        if job.at in (At.HELD, At.REUSING):
-            self._off(now, job)
-        else:
+        if job := self.jobs.get(id):
             if self._stops(job):
                 self.out.append(act.Pause(id))
-            self._answered(job)
+            self._answered(now, job)
 
     def leave(self, now: float, left: float) -> None:
         self.leave_at, self.grace_until = now + left, now + self.duty.drain_grace
@@ -399,142 +339,117 @@
         span = now - self.limit.changed
         self.limit.adapt(now, busy, self.on_core, self.hold.count > 0)
         self.keys.expire(now)
-        horizon = now + 1.5 * self.beat
-        while self.dues and self.dues[0][0] <= horizon:
+        while self.dues and self.dues[0][0] <= now + 1.5 * self.beat:
             self._give_up(heappop(self.dues)[1])
-        if now >= self.leave_at - 2.5 * self.beat:  # all that was read is answered before the stop
-            for job in list(self.jobs.values()):
+        closing = now >= self.leave_at - 2.5 * self.beat  # all that was read is answered before the stop
+        for job in list(self.jobs.values()):
+            # A run past its target earns nothing; while others are held, they wait for its core.
+            spent = now > job.target and not job.kind.late_share and self.hold.count and self._stops(job)
+            if closing or spent or (job.queued and self._stale(now, job)):
                 self._give_up(job.id)
-        for job in self.hold:
-            if self._stale(now, job):
-                self._wish(job, Want.NACK)
-        if self.hold.count:  # a run past its target earns nothing, and others wait for its core
-            for job in list(self.jobs.values()):
-                if now > job.target and not job.answered and not job.kind.late_share and self._stops(job):
-                    self._wish(job, Want.STOP)
         # Where some must miss, oldest first spends the cores on whoever asked first, and short targets are
         # never met behind long ones. Harm: what matters least waits longest, and is nacked for it.
         self.hold.pressed = self._queueing() > PRESSED * self.least_target
-        mean = max(1e-3, self._mean_cost())
-        room = self.limit.limit * self.usual_target / mean
+        runs = [mean[0] for mean in self.pace.runs if mean]
+        room = self.limit.limit * self.usual_target * len(runs) / max(sum(runs), self.beat)
         value = self.voice.value(span, self._queueing() / (PRESSED * self.usual_target), room)
         if value is not None and value != self.said:
-            self.said = value
             self.out.append(act.Say(value))
+        self.said = value
         self.out.append(act.Wake(0, self.beat))
 
-    # What should be.
-
     def settle(self, now: float) -> list[act.Action]:
         """Decide what should run and call now, and return the difference to what is."""
         if not self.begun:
             self.begun = True
             self.out += [act.Health(True, True), act.Wake(0, self.beat)]
         self._shed_memory()
-        self._start(now)
-        self._let_out(now)
         for job in self.changed:
             self._difference(now, job)
         self.changed.clear()
+        self._start(now)
+        self._let_out(now)
         out, self.out = self.out, []
         return out
 
     def _start(self, now: float) -> None:
         """Start held ops while the limit, the ceiling and the memory leave room."""
         limit, ceiling = self.limit.limit, self.limit.ceiling(now)
-        while self.hold.count and self.on_core + 1 <= limit:
-            if self.on_core + self.calls.out + len(self.calls.waiting) + 1 > ceiling:
-                break
+        while self.on_core + 1 <= limit:
+            crowd = self.on_core + self.calls.out + len(self.calls.waiting)
             job = self.hold.next(self.running, max(1.0, limit * SHARE))
-            if job is None:
+            if job is None or crowd + 1 > ceiling:
                 break
-            if self._stale(now, job):
-                self._wish(job, Want.NACK)
-                continue
-            more = job.size * (self.machine.run_factor - 1)
-            if self.memory + self.keys.memory() + more > self.machine.memory * MEMORY_FILL:
+            stale = self._stale(now, job)
+            if not stale and self._room() < job.size * (self.machine.run_factor - 1):
                 break
-            self._wish(job, Want.RUN)
-            self.memory += more
-            job.size *= self.machine.run_factor
-            job.move(now, At.ON_CORE)
-            self._enter_core(job)
+            job.want = Want.NACK if stale else Want.RUN
+            self._difference(now, job)
 
     def _let_out(self, now: float) -> None:
         """Let calls out; an op whose call cannot pay goes on without it or is failed."""
         calls = self.calls
         calls.book(now)
-        if not calls.waiting:
-            return
         calls.order()
-        later = []
-        for job in calls.waiting:
-            if job.answered or job.want >= Want.GO_ON:
+        waiting, calls.waiting = calls.waiting, []
+        for job in waiting:
+            if job.at is not At.AT_CALL or job.answered:
                 continue
             if now + calls.recent > job.target and job.kind.poorer_share > job.kind.late_share:
-                self._wish(job, Want.GO_ON)
+                job.want = Want.GO_ON
             elif now > job.target and not job.kind.late_share and self.hold.count:
-                self._wish(job, Want.FAIL)
+                job.want = Want.FAIL
             elif job.not_before <= now and calls.room():
-                calls.out += 1
-                job.tries += 1
-                self._wish(job, Want.CALL)
+                job.want = Want.CALL
             else:
-                later.append(job)
-        calls.waiting = later
+                calls.waiting.append(job)
+            self._difference(now, job)
 
     def _shed_memory(self) -> None:
         """Memory short: the least important held ops go first, the youngest of them before older ones."""
-        top = self.machine.memory * MEMORY_FILL
-        if self.memory + self.keys.memory() <= top:
-            return
-        held = sorted(self.hold, key=lambda job: (job.kind.importance, -job.reached))
-        excess = self.memory + self.keys.memory() - top
-        for job in held:
-            if excess <= 0:
-                break
-            excess -= job.size + (self.machine.key_size if job.kept else 0)
-            self._wish(job, Want.NACK)
+        short = -self._room()
+        if short > 0:
+            for job in sorted(self.hold, key=lambda job: (job.kind.importance, -job.reached)):
+                if short > 0:
+                    short -= job.size + (self.machine.key_size if job.keep_span else 0.0)
+                    self._wish(job, Want.NACK)
 
     def _difference(self, now: float, job: Job) -> None:
         """The one place where an op's wanted state, against its present one, becomes actions."""
         want, job.want = job.want, Want.STAY
-        if job.id not in self.jobs or job.answered:
+        if job.at is At.GONE or job.answered:
             return
-        if want <= Want.RUN and job.kind.repeat is Repeat.KEYED and not job.kept:
+        if want <= Want.RUN and job.at is At.HELD and job.keep_span and not job.kept:
             job.kept = True  # kept while held: the repeat of an unkept held op comes unmarked
-            self.keys.keep(now, job, job.kind.key_window)
-            self.out.append(act.Keep(job.id, job.kind.key_window))
+            self.out.append(act.Keep(job.id, job.keep_span))
         if want is Want.RUN:
             self.out.append(act.Run(job.id))
+            self.memory += job.size * (self.machine.run_factor - 1)
+            job.size *= self.machine.run_factor
+            self._move(now, job, At.ON_CORE)
         elif want is Want.CALL:
-            job.move(now, At.CALLING)
             self.out.append(act.Call(job.id, max(now + self.beat, job.due - self.beat)))
+            job.tries += 1
+            self._move(now, job, At.CALLING)
         elif want is Want.GO_ON:
-            job.move(now, At.ON_CORE)
-            self._enter_core(job)
             self.out.append(act.GoOn(job.id))
+            self._move(now, job, At.ON_CORE)
         elif want is Want.REUSE:
-            job.move(now, At.REUSING)
             self.out.append(act.Reuse(job.id))
+            self._move(now, job, At.REUSING)
         elif want is Want.NACK:
             if job.kept:
-                self.keys.live.pop(job.id, None)
                 self.out.append(act.Forget(job.id))
+            self.keys.live.discard(job.id)
             # Turned away elsewhere before, and most ops are: others nack as well, and walking on would only
             # feed the storm. Harm: a server that is still sound may be left out until the storm has passed.
             self.out.append(act.Nack(job.id, job.further and self.storm > STORM, self._away(now)))
-            self._off(now, job)
+            self._move(now, job, At.GONE)
         elif want >= Want.FAIL:
             if want is Want.STOP:
                 self.out.append(act.Pause(job.id))
             self.out.append(act.Fail(job.id))
-            if job.at in (At.HELD, At.REUSING):
-                self._off(now, job)
-            else:
-                self._answered(job)
-
-    # The wait estimate.
+            self._answered(now, job)
 
     def _wait(self, key: int | None = None, importance: float = 0.0) -> float:
         """Predicted wait of a new op: work ahead over the slots, or its key's own line over its share."""
@@ -544,99 +459,93 @@
         ahead = self.hold.ahead(importance)
         if key is not None:
             ahead = min(ahead, self.hold.ahead(importance, key) * limit / max(1.0, limit * SHARE))
-        return (ahead + self._remaining()) / limit
+        running = sum(0.5 * job.cost for job in self.jobs.values() if job.at is At.ON_CORE)
+        return (ahead + running) / limit
 
     def _queueing(self) -> float:
         """What an op spends waiting here, read or not. A server that reads too late to run anything holds
         nothing: without the time unread it would look idle and go on inviting ops that it can only nack."""
         return self.unread + self._wait()
 
-    def _remaining(self) -> float:
-        return sum(0.5 * job.cost for job in self.jobs.values() if job.at is At.ON_CORE)
-
-    def _mean_cost(self) -> float:
-        known = [mean[0] for mean in self.pace.runs if mean]
-        return sum(known) / len(known) if known else self.usual_target / 4
-
     def _misses(self, now: float, job: Job) -> bool:
         """Whether it is predicted to miss its target; without history nothing is."""
-        if not job.cost:
-            return False
         # A keyed op that ends too late cannot be tried again here: its repeats get the failed run's answer.
         wait = self._wait(*job.line)
         margin = min(wait, job.spread) if job.kind.repeat is Repeat.KEYED else 0.0
-        return now + wait + margin + job.cost + job.away > job.target
+        return job.cost > 0 and now + wait + margin + job.cost + job.away > job.target
 
     def _stale(self, now: float, job: Job) -> bool:
         """Whether a held op has passed its target, or surely will; a keyed op must be likely to make it."""
         keyed = job.kind.repeat is Repeat.KEYED
         return now + (job.cost + job.away if keyed else SURE_MISS * job.cost) > job.target
 
+    def _further(self, op: facts.Op) -> bool:
+        """Whether it is a further try: marked, or a part of its time is spent; learns how many are."""
+        further = op.further
+        if op.left:
+            time = op.left + op.unread
+            self.patience[op.type] = max(time, self.patience[op.type] * PATIENCE_FADE)
+            further = further or time < SPENT * self.patience[op.type]
+        self.storm += NEWEST / 2 * (further - self.storm)
+        return further
+
     def _away(self, now: float) -> float:
         """How long a nacked caller should stay away: until the wait is back at the set point."""
         if self.leave_at < float("inf"):
             return self.callers.max_wait
         return min(self.callers.max_wait, max(0.0, self._queueing() - PRESSED * self.usual_target))
 
-    # Book-keeping.
-
     def _wish(self, job: Job, want: Want) -> None:
         """Set what an op should do next; a final answer that is already wanted stands."""
-        if job.want >= Want.NACK:
-            return
-        if job.queued and want is not Want.STAY:
-            self.hold.drop(job)
-        job.want = want
-        self.changed.append(job)
+        if job.want < Want.NACK:
+            job.want = want
+            self.changed.append(job)
 
-    def _fits(self, job: Job) -> bool:
-        more = self.machine.key_size if job.kind.repeat is Repeat.KEYED else 0.0
-        return self.memory + self.keys.memory() + more <= self.machine.memory * MEMORY_FILL
+    def _room(self) -> float:
+        return self.machine.memory * MEMORY_FILL - self.memory - self.keys.memory()
 
     def _give_up(self, id: Any) -> None:
         """Its answer is due: what never ran is nacked, the rest fails."""
         job = self.jobs.get(id)
-        if job is None or job.answered:
-            return
-        if job.at is At.HELD and job.want is not Want.REUSE:
-            self._wish(job, Want.NACK)
-        else:
-            self._wish(job, Want.STOP if self._stops(job) else Want.FAIL)
+        if job is not None and not job.answered:
+            never_ran = job.at is At.HELD and job.want is not Want.REUSE
+            self._wish(job, Want.NACK if never_ran else Want.STOP if self._stops(job) else Want.FAIL)
 
     def _stops(self, job: Job) -> bool:
         """Whether its run can and should be stopped once nobody waits: it would hold a core for nobody.
         An op with an effect runs on, for its repeats are answered by its end."""
-        return (job.at is At.ON_CORE and job.kind.repeat is Repeat.RETRYABLE
-                and self.machine.halt is not facts.Halt.NOTHING)  # fmt: skip
+        can = self.machine.halt is not facts.Halt.NOTHING
+        return can and job.at is At.ON_CORE and job.kind.repeat is Repeat.RETRYABLE
 
-    def _answered(self, job: Job) -> None:
-        """Answered while running: it keeps its core and memory until its run ends."""
+    def _answered(self, now: float, job: Job) -> None:
+        """Answered, or nobody waits: what runs keeps its core and memory until its run ends."""
         job.answered = True
         if job.at is At.CALLING:
-            self.calls.out -= 1
-            self.calls.lingering.append(self.calls.seen + self.calls.linger_span)
-            job.at = At.AT_CALL
-
-    def _off(self, now: float, job: Job) -> None:
-        """Out of hand: free what it holds."""
-        del self.jobs[job.id]
-        self.memory -= job.size
-        if job.queued:
-            self.hold.drop(job)
-        elif job.at is At.ON_CORE:
-            self._leave_core(job)
-        elif job.at is At.CALLING:
-            self.calls.out -= 1
             self.calls.lingering.append(now + self.calls.linger_span)
-        elif job.at is At.AT_CALL and job in self.calls.waiting:
-            self.calls.waiting.remove(job)
+            self._move(now, job, At.AT_CALL)
+        elif job.at in (At.HELD, At.REUSING):
+            self._move(now, job, At.GONE)
 
-    def _enter_core(self, job: Job) -> None:
-        self.on_core += 1
-        self.running[job.key] = self.running.get(job.key, 0) + 1
-
-    def _leave_core(self, job: Job) -> None:
-        self.on_core -= 1
-        self.running[job.key] -= 1
-        if not self.running[job.key]:
+    def _move(self, now: float, job: Job, at: At) -> None:
+        """Book where it was and for how long; out of hand, it frees what it held."""
+        was = job.at
+        if job.queued:
+            self.hold.drop(job)
+        if was is At.ON_CORE:
+            job.on += now - job.since
+        elif was in (At.AT_CALL, At.CALLING):
+            job.off += now - job.since
+        for where, by in ((was, -1), (at, 1)):
+            if where is At.CALLING:
+                self.calls.out += by
+            elif where is At.ON_CORE:
+                self.on_core += by
+                self.running[job.key] = self.running.get(job.key, 0) + by
+        if not self.running.get(job.key, 1):
             del self.running[job.key]
+        job.at, job.since = at, now
+        if at is At.GONE:
+            if was is At.CALLING:
+                self.calls.lingering.append(now + self.calls.linger_span)
+            del self.jobs[job.id]
+            self.memory -= job.size
