--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -74,10 +74,8 @@
 
     def __init__(self, kinds: int) -> None:
         self.runs: list[list[float] | None] = [None] * kinds  # on the cores, off them, spread, hint
-        self.tried = [0.0] * kinds  # when one of the type was last taken or ended
 
-    def learn(self, now: float, job: Job) -> None:
-        self.tried[job.op.type] = now
+    def learn(self, job: Job) -> None:
         spread = abs(job.on + job.off - job.cost - job.away) if job.cost else 0.0
         new = [job.on, job.off, spread, job.op.hint]
         old = self.runs[job.op.type] or new
@@ -297,7 +295,7 @@
             ran = job.at is At.ON_CORE and outcome in (Outcome.OK, Outcome.ERROR)
             self._move(now, job, At.GONE)
             if ran:
-                self.pace.learn(now, job)
+                self.pace.learn(job)
 
     def blocked(self, now: float, id: Any) -> None:
         if job := self.jobs.get(id):
@@ -474,11 +472,6 @@
         # A keyed op that ends too late cannot be tried again here: its repeats get the failed run's answer.
         wait = self._wait(*job.line)
         margin = min(wait, job.spread) if job.kind.repeat is Repeat.KEYED else 0.0
-        # Refused for its run times alone, a type would never show that they have fallen again: now and then
-        # one is taken. Harm: one op a target's time and type, run for nothing.
-        if now + wait <= job.target and now - self.pace.tried[job.op.type] > job.kind.target:
-            self.pace.tried[job.op.type] = now
-            return False
         return job.cost > 0 and now + wait + margin + job.cost + job.away > job.target
 
     def _stale(self, now: float, job: Job) -> bool:
