--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -55,6 +55,7 @@
     def __init__(self, now: float, op: facts.Op, kind: facts.OpType, key: int, *expect: float) -> None:
         self.op, self.id, self.size, self.key = op, op.id, op.size, key
         self.kind, self.line = kind, (key, kind.importance)
+        self.gain = kind.importance * (1 - kind.poorer_share)  # what a call of it is worth
         self.reached = now - op.unread
         self.due = now + op.left if op.left else max(now, self.reached + kind.timeout)
         # An answer after the caller gave this try up is lost like one after the target, and the try that
@@ -194,9 +195,13 @@
         self.quick = min(took, self.quick + NEWEST / 10 * (took - self.quick))
 
     def order(self) -> None:
-        """Oldest first; by importance when calls below are slow."""
+        """Oldest first; when calls below are slow by importance, as far as it hangs on the call."""
         slow = self.quick is not None and self.recent > SLOW_CALLS * self.quick
-        self.waiting.sort(key=lambda job: (-job.kind.importance if slow else 0.0, job.reached))
+        self.waiting.sort(key=lambda job: (-job.gain if slow else 0.0, job.reached))
+
+    def wait(self, ahead: int) -> float:
+        """Predicted time until a call with this many waiting before it is back."""
+        return self.recent * (1 + (self.out + ahead) / max(1.0, self.bound))
 
 
 class Keys:
@@ -395,7 +400,8 @@
         for job in waiting:
             if job.at is not At.AT_CALL or job.answered:
                 continue
-            if now + calls.recent > job.target and job.kind.poorer_share > job.kind.late_share:
+            missed = now + calls.wait(len(calls.waiting)) > job.target
+            if missed and job.kind.poorer_share > job.kind.late_share:
                 job.want = Want.GO_ON
             elif now > job.target and not job.kind.late_share and self.hold.count:
                 job.want = Want.FAIL
@@ -472,6 +478,8 @@
         # A keyed op that ends too late cannot be tried again here: its repeats get the failed run's answer.
         wait = self._wait(*job.line)
         margin = min(wait, job.spread) if job.kind.repeat is Repeat.KEYED else 0.0
+        if job.kind.poorer_share:  # slow calls are no reason to refuse what can go on without them
+            margin -= job.away
         return job.cost > 0 and now + wait + margin + job.cost + job.away > job.target
 
     def _stale(self, now: float, job: Job) -> bool:
