--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -222,7 +222,7 @@
         for recent, first in [(0.1, 0), (1.0, 2)]:
             with self.subTest(recent=recent):
                 server = Server(dependency=facts.Dependency(facts.Below.SHARED, 1.2, 5.0, 0.2))
-                server.yoke.calls.quick, server.yoke.calls.recent = 0.1, recent
+                server.yoke.calls.usual, server.yoke.calls.recent = 0.1, recent
                 self.blocked(server, 0, 0, 2)
                 self.assertEqual(server.ids(Act.Call), [first])
 
@@ -247,7 +247,7 @@
         """A call that cannot pay is left out where an answer without it earns something."""
         for type, then in [(3, Act.GoOn), (0, Act.Call)]:
             server = Server()
-            server.yoke.calls.quick = server.yoke.calls.recent = 3.0
+            server.yoke.calls.usual = server.yoke.calls.recent = 3.0
             self.blocked(server, type)
             self.assertEqual(server.ids(then), [0])
 
--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -30,7 +30,7 @@
 NEWEST = 0.1  # weight of the newest value in recent run times and times unread
 SURE_MISS = 0.5  # a held op is stale when this part of its expected run no longer fits
 CALL_FILL = 0.85  # of `fair_calls`: the most calls that are out, lingering ones included
-SLOW_CALLS = 2.5  # calls are slow past this multiple of their quick times
+SLOW_CALLS = 2.5  # calls are slow past this multiple of their usual time
 CALL_TRIES = 4  # of one call, where repeating it is allowed
 BACKOFF = 0.1  # of the target: the first wait before a call is repeated
 PRESSED = 0.5  # of the usual target: the wait at which callers are told to hold back
@@ -169,7 +169,7 @@
         self.waiting: list[Job] = []  # emptied as calls go out or are given up
         self.lingering: deque[float] = deque()  # ends of abandoned calls; emptied as they pass
         self.out, self.mean, self.seen = 0, 0.0, now
-        self.quick: float | None = None
+        self.usual: float | None = None
         self.recent = 0.0
 
     def book(self, now: float) -> None:
@@ -189,14 +189,18 @@
         return hands == 0 and self.mean < self.bound / 2
 
     def learn(self, took: float) -> None:
-        if self.quick is None:
-            self.quick = self.recent = took
+        """The usual time is the lowest recent mean: single calls differ too much to tell slowness from."""
+        if self.usual is None:
+            self.usual = self.recent = took
         self.recent += 2 * NEWEST * (took - self.recent)
-        self.quick = min(took, self.quick + NEWEST / 10 * (took - self.quick))
+        self.usual = min(self.recent, self.usual + NEWEST / 100 * (self.recent - self.usual))
+
+    def slow(self) -> bool:
+        return self.usual is not None and self.recent > SLOW_CALLS * self.usual
 
     def order(self) -> None:
         """Oldest first; when calls below are slow by importance, as far as it hangs on the call."""
-        slow = self.quick is not None and self.recent > SLOW_CALLS * self.quick
+        slow = self.slow()
         self.waiting.sort(key=lambda job: (-job.gain if slow else 0.0, job.reached))
 
     def wait(self, ahead: int) -> float:
@@ -478,7 +482,7 @@
         # A keyed op that ends too late cannot be tried again here: its repeats get the failed run's answer.
         wait = self._wait(*job.line)
         margin = min(wait, job.spread) if job.kind.repeat is Repeat.KEYED else 0.0
-        if job.kind.poorer_share:  # slow calls are no reason to refuse what can go on without them
+        if job.kind.poorer_share and self.calls.slow():  # it can go on without its call
             margin -= job.away
         return job.cost > 0 and now + wait + margin + job.cost + job.away > job.target
 
