A call is given up while a poorer answer can still be in time

Guards against calls that hang or run long; harm: some calls that would have come back are left out.

--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -438,7 +438,10 @@
             job.size *= self.machine.run_factor
             self._move(now, job, At.ON_CORE)
         elif want is Want.CALL:
-            self.out.append(act.Call(job.id, max(now + self.beat, job.due - self.beat)))
+            until = job.due - self.beat
+            if job.kind.poorer_share > job.kind.late_share:  # given up while a poorer answer is still in time
+                until = min(until, job.target - job.cost / 2)
+            self.out.append(act.Call(job.id, max(now + self.beat, until)))
             job.tries += 1
             self._move(now, job, At.CALLING)
         elif want is Want.GO_ON:
