--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -242,8 +242,7 @@
         if self.signal is Signal.ALLOWANCE:
             self.part *= 1 + span * ALLOW_GAIN * max(-1.0, min(1.0, 1 - pressure))
             self.part = min(ALLOW_TOP, max(ALLOW_LEAST, self.part))
-            # Below one op, a caller hears nothing for so long that it forgets the value and sends a flood.
-            return max(1.0, round(self.part * room / self.callers, 1))
+            return round(self.part * room / self.callers, 1)
         if self.signal is Signal.WEIGHT:
             return round(min(1.0, max(0.1, 1.5 - pressure / 2)), 2)
         return None
