--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -40,7 +40,7 @@
 SPENT = 0.9  # of a type's patience: an op with less left is a further try
 PATIENCE_FADE = 0.9995  # an op: a longest time left that is not seen again is forgotten
 ALLOW_GAIN = 2.0  # a second and unit of pressure off the set point, as part of the allowance
-ALLOW_LEAST, ALLOW_TOP = 0.02, 0.25  # of the ops that fit in hand in time, for all callers together
+ALLOW_LEAST, ALLOW_TOP = 0.02, 0.5  # of the ops that fit in hand in time, for all callers together
 
 
 # Where an op in hand is, and what it should do next. STAY asks for nothing; from NACK on wants are final
