Calls still out count as slow; ops that hang on calls are judged by their queue

Cause: hung calls were never counted, and keyed ops were started only to fail at them, with all their repeats. Harm: a slow spell of calls turns away what might have made it.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -150,9 +150,9 @@
         server.op(1, type=1)
         server.settle()
         server.end(1)
-        for later, memory in [(9.0, 5.0), (2.0, 0.0)]:
+        for later, kept in [(9.0, 1), (2.0, 0)]:
             server.beat(later=later)
-            self.assertEqual(server.yoke.keys.memory(), memory)
+            self.assertEqual(len(server.yoke.keys.live), kept)
 
     def test_memory(self) -> None:
         """No room for an op, or for its key, means no run of it; the least important held op goes first."""
@@ -243,6 +243,27 @@
                 did = server.settle() + server.beat(later=0.25)
                 self.assertEqual([type(act) for act in did if isinstance(act, Act.Call | Act.Fail)], [then])
 
+    def test_calls_that_hang_are_seen_before_they_end(self) -> None:
+        """What hangs on its call is then nacked before it runs; what can go on without it is not refused."""
+        for kind, nacked in [(1, [9]), (3, [])]:
+            with self.subTest(kind=kind):
+                server = Server(dependency=facts.Dependency(facts.Below.SHARED, 3.0, 5.0, 0.2))
+                server.learned(0.1, kind)
+                self.blocked(server, 0, 0)
+                server.yoke.called(server.now, 0, Outcome.OK, 0.02)
+                for _ in range(40):
+                    server.beat()
+                server.op(9, type=kind)
+                server.settle()
+                self.assertEqual(server.ids(Act.Nack), nacked)
+
+    def test_a_call_is_given_up_while_a_poorer_answer_is_in_time(self) -> None:
+        for kind, until in [(0, 105.94), (3, 102.0)]:
+            with self.subTest(kind=kind):
+                server = Server()
+                self.blocked(server, kind)
+                self.assertAlmostEqual(server.did[-1].until, until)
+
     def test_poorer_answer(self) -> None:
         """A call that cannot pay is left out where an answer without it earns something."""
         for type, then in [(3, Act.GoOn), (0, Act.Call)]:
--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -11,10 +11,8 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterator
 from enum import IntEnum
 from heapq import heappop, heappush
-from itertools import chain
 from random import Random
 from typing import Any
 
@@ -69,9 +67,7 @@
 
 class Pace:
     """Recent run times of each op type, on the cores and off them, scaled by the hint where told.
-
-    Means of times over means of hints: a mean of ratios is ruled by the smallest ops.
-    """
+    Means of times over means of hints: a mean of ratios is ruled by the smallest ops."""
 
     def __init__(self, kinds: int) -> None:
         self.runs: list[list[float] | None] = [None] * kinds  # on the cores, off them, spread, hint
@@ -133,11 +129,10 @@
     def drop(self, job: Job) -> None:
         """Take one out, from wherever it stands."""
         job.queued = False
-        line = self.lines[job.line]
-        line.remove(job)
+        self.lines[job.line].remove(job)
         self.count -= 1
         self.work[job.line] -= job.cost
-        if not line:
+        if not self.lines[job.line]:
             del self.lines[job.line], self.work[job.line]
 
     def ahead(self, importance: float = 0.0, key: int | None = None) -> float:
@@ -146,18 +141,13 @@
         return sum(work for line, work in self.work.items()
                    if line[1] >= least and (key is None or key == line[0]))  # fmt: skip
 
-    def __iter__(self) -> Iterator[Job]:
-        return chain.from_iterable(self.lines.values())
-
     def next(self, running: dict[int, int], share: float) -> Job | None:
         """The oldest op of a key within its share; else the slot is lent to the oldest."""
-        best: Job | None = None
-        least: tuple[bool, float, float] = (True, 0.0, 0.0)
-        for (key, importance), line in self.lines.items():
-            rank = (running.get(key, 0) + 1 > share, -importance if self.pressed else 0.0, line[0].reached)
-            if best is None or rank < least:
-                best, least = line[0], rank
-        return best
+        def rank(job: Job) -> tuple[bool, float, float]:
+            over = running.get(job.key, 0) + 1 > share
+            return over, -job.kind.importance * self.pressed, job.reached
+
+        return min((line[0] for line in self.lines.values()), key=rank, default=None)
 
 
 class Calls:
@@ -169,16 +159,14 @@
         self.waiting: list[Job] = []  # emptied as calls go out or are given up
         self.lingering: deque[float] = deque()  # ends of abandoned calls; emptied as they pass
         self.out, self.mean, self.seen = 0, 0.0, now
-        self.usual: float | None = None
-        self.recent = 0.0
+        self.usual = self.recent = 0.0  # times of calls; 0 until the first is back
 
     def book(self, now: float) -> None:
         """Keep the average number of calls in the dependency's hands."""
         while self.lingering and self.lingering[0] <= now:
             self.lingering.popleft()
-        if self.fair_span:
-            part = min(1.0, (now - self.seen) / self.fair_span)
-            self.mean += part * (self.out + len(self.lingering) - self.mean)
+        part = min(1.0, (now - self.seen) / self.fair_span) if self.fair_span else 1.0
+        self.mean += part * (self.out + len(self.lingering) - self.mean)
         self.seen = now
 
     def room(self) -> bool:
@@ -190,18 +178,24 @@
 
     def learn(self, took: float) -> None:
         """The usual time is the lowest recent mean: single calls differ too much to tell slowness from."""
-        if self.usual is None:
-            self.usual = self.recent = took
-        self.recent += 2 * NEWEST * (took - self.recent)
-        self.usual = min(self.recent, self.usual + NEWEST / 100 * (self.recent - self.usual))
+        self.recent += (2 * NEWEST if self.usual else 1.0) * (took - self.recent)
+        self.usual = min(self.recent, (self.usual or took) + NEWEST / 100 * (self.recent - self.usual))
+
+    def watch(self, ages: list[float]) -> None:
+        """Calls that are out longer than the recent mean count before they end: some never do. With none out
+        the mean falls back, so that calls are tried again."""
+        for age in ages:
+            self.recent += 2 * NEWEST * max(0.0, age - self.recent)
+        if not self.out and not self.waiting:
+            self.recent += NEWEST * (self.usual - self.recent)
 
     def slow(self) -> bool:
-        return self.usual is not None and self.recent > SLOW_CALLS * self.usual
+        return 0 < SLOW_CALLS * self.usual < self.recent
 
     def order(self) -> None:
         """Oldest first; when calls below are slow by importance, as far as it hangs on the call."""
-        slow = self.slow()
-        self.waiting.sort(key=lambda job: (-job.gain if slow else 0.0, job.reached))
+        by_gain = self.slow()
+        self.waiting.sort(key=lambda job: (-job.gain * by_gain, job.reached))
 
     def wait(self, ahead: int) -> float:
         """Predicted time until a call with this many waiting before it is back."""
@@ -211,13 +205,10 @@
 class Keys:
     """Retained repeats and their memory; entries go when their window has passed."""
 
-    def __init__(self, size: float) -> None:
-        self.size, self.live = size, set[Any]()
+    def __init__(self) -> None:
+        self.live: set[Any] = set()
         self.ends: list[tuple[float, Any]] = []
 
-    def memory(self) -> float:
-        return len(self.live) * self.size
-
     def keep(self, now: float, job: Job) -> None:
         self.live.add(job.id)
         heappush(self.ends, (now + job.keep_span, job.id))
@@ -240,12 +231,10 @@
             self.floor = min(FLOOR_TOP, max(0.0, self.floor + span * FLOOR_GAIN * (pressure - 1)))
             return round(self.floor, 2)
         if self.signal is Signal.ALLOWANCE:
-            self.part *= 1 + span * ALLOW_GAIN * max(-1.0, min(1.0, 1 - pressure))
-            self.part = min(ALLOW_TOP, max(ALLOW_LEAST, self.part))
+            part = self.part * (1 + span * ALLOW_GAIN * max(-1.0, min(1.0, 1 - pressure)))
+            self.part = min(ALLOW_TOP, max(ALLOW_LEAST, part))
             return round(self.part * room / self.callers, 1)
-        if self.signal is Signal.WEIGHT:
-            return round(min(1.0, max(0.1, 1.5 - pressure / 2)), 2)
-        return None
+        return round(min(1.0, max(0.1, 1.5 - pressure / 2)), 2) if self.signal is Signal.WEIGHT else None
 
 
 class Choice:
@@ -258,11 +247,11 @@
         self.kinds, self.machine, self.duty, self.callers = op_types, machine, duty, callers
         self.by_tenant = bool(tenants)
         self.beat = max(duty.answer_slack, 8 * machine.tick)
-        self.usual_target = sum(kind.target for kind in op_types) / len(op_types)
-        self.least_target = min(kind.target for kind in op_types)
+        targets = [kind.target for kind in op_types]
+        self.usual_target, self.least_target = sum(targets) / len(targets), min(targets)
         self.pace, self.hold = Pace(len(op_types)), Hold()
         self.limit, self.calls = RunLimit(machine.cores, now, survival), Calls(dependency, now)
-        self.keys, self.voice = Keys(machine.key_size), Voice(callers.signal, callers.count)
+        self.keys, self.voice = Keys(), Voice(callers.signal, callers.count)
         self.jobs: dict[Any, Job] = {}  # ops in hand; emptied by their answers and ends
         self.dues: list[tuple[float, Any]] = []  # emptied as their moments pass
         self.changed: list[Job] = []  # ops whose wanted state moved; emptied by every settle
@@ -270,16 +259,15 @@
         self.on_core, self.memory, self.unread = 0, 0.0, 0.0
         self.storm, self.patience = 0.0, [0.0] * len(op_types)
         self.leave_at = self.grace_until = float("inf")
-        self.out: list[act.Action] = []
+        self.out: list[act.Action] = [act.Health(True, True), act.Wake(0, self.beat)]
         self.said: float | None = None
-        self.begun = False
 
     def take(self, now: float, op: facts.Op) -> None:
         kind = self.kinds[op.type]
         job = Job(now, op, kind, op.tenant if self.by_tenant else op.caller, *self.pace.expect(op))
         if kind.repeat is Repeat.KEYED:
             job.keep_span = kind.key_window
-        elif self.callers.fresh and kind.repeat is Repeat.RETRYABLE and op.subject and not op.write:
+        elif kind.repeat is Repeat.RETRYABLE and op.subject and not op.write and self.callers.fresh:
             job.keep_span = kind.timeout + self.callers.fresh
         self.jobs[job.id], job.further = job, self._further(op)
         self.memory += job.size
@@ -321,9 +309,9 @@
             self.calls.lingering.append(now + self.calls.linger_span)
         if outcome not in facts.NEVER_RAN:
             self.calls.learn(took)
+        may_repeat = job.kind.repeat is Repeat.RETRYABLE or outcome in facts.NEVER_RAN
         if outcome is Outcome.OK:
             return
-        may_repeat = job.kind.repeat is Repeat.RETRYABLE or outcome in facts.NEVER_RAN
         if may_repeat and job.tries < CALL_TRIES:
             wait = BACKOFF * job.kind.target * 2 ** (job.tries - 1)
             job.not_before = now + wait * self.random.uniform(0.5, 1)
@@ -356,6 +344,7 @@
             spent = now > job.target and not job.kind.late_share and self.hold.count and self._stops(job)
             if closing or spent or (job.queued and self._stale(now, job)):
                 self._give_up(job.id)
+        self.calls.watch([now - job.since for job in self.jobs.values() if job.at is At.CALLING])
         # Where some must miss, oldest first spends the cores on whoever asked first, and short targets are
         # never met behind long ones. Harm: what matters least waits longest, and is nacked for it.
         self.hold.pressed = self._queueing() > PRESSED * self.least_target
@@ -369,9 +358,6 @@
 
     def settle(self, now: float) -> list[act.Action]:
         """Decide what should run and call now, and return the difference to what is."""
-        if not self.begun:
-            self.begun = True
-            self.out += [act.Health(True, True), act.Wake(0, self.beat)]
         self._shed_memory()
         for job in self.changed:
             self._difference(now, job)
@@ -418,11 +404,11 @@
     def _shed_memory(self) -> None:
         """Memory short: the least important held ops go first, the youngest of them before older ones."""
         short = -self._room()
-        if short > 0:
-            for job in sorted(self.hold, key=lambda job: (job.kind.importance, -job.reached)):
-                if short > 0:
-                    short -= job.size + (self.machine.key_size if job.keep_span else 0.0)
-                    self._wish(job, Want.NACK)
+        held = [job for job in self.jobs.values() if job.queued] if short > 0 else []
+        for job in sorted(held, key=lambda job: (job.kind.importance, -job.reached)):
+            if short > 0:
+                short -= job.size + (self.machine.key_size if job.keep_span else 0.0)
+                self._wish(job, Want.NACK)
 
     def _difference(self, now: float, job: Job) -> None:
         """The one place where an op's wanted state, against its present one, becomes actions."""
@@ -485,30 +471,34 @@
         # A keyed op that ends too late cannot be tried again here: its repeats get the failed run's answer.
         wait = self._wait(*job.line)
         margin = min(wait, job.spread) if job.kind.repeat is Repeat.KEYED else 0.0
-        if job.kind.poorer_share and self.calls.slow():  # it can go on without its call
-            margin -= job.away
-        return job.cost > 0 and now + wait + margin + job.cost + job.away > job.target
+        return job.cost > 0 and now + wait + margin + job.cost + self._off_cores(job) > job.target
 
     def _stale(self, now: float, job: Job) -> bool:
         """Whether a held op has passed its target, or surely will; a keyed op must be likely to make it."""
         keyed = job.kind.repeat is Repeat.KEYED
-        return now + (job.cost + job.away if keyed else SURE_MISS * job.cost) > job.target
+        return now + (job.cost + self._off_cores(job) if keyed else SURE_MISS * job.cost) > job.target
+
+    def _off_cores(self, job: Job) -> float:
+        """Expected time in calls: the usual one, or while calls are slow that of their queue as it stands. A
+        run that fails at its call is lost with all its repeats. What can go on without it loses nothing."""
+        if not job.kind.calls or not self.calls.slow():
+            return job.away
+        return 0.0 if job.kind.poorer_share else max(job.away, self.calls.wait(len(self.calls.waiting)))
 
     def _further(self, op: facts.Op) -> bool:
         """Whether it is a further try: marked, or a part of its time is spent; learns how many are."""
-        further = op.further
+        time, longest = op.left + op.unread, self.patience[op.type]
+        further = op.further or (op.left > 0 and time < SPENT * longest)
         if op.left:
-            time = op.left + op.unread
-            self.patience[op.type] = max(time, self.patience[op.type] * PATIENCE_FADE)
-            further = further or time < SPENT * self.patience[op.type]
+            self.patience[op.type] = max(time, longest * PATIENCE_FADE)
         self.storm += NEWEST / 2 * (further - self.storm)
         return further
 
     def _away(self, now: float) -> float:
         """How long a nacked caller should stay away: until the wait is back at the set point."""
-        if self.leave_at < float("inf"):
-            return self.callers.max_wait
-        return min(self.callers.max_wait, max(0.0, self._queueing() - PRESSED * self.usual_target))
+        leaving = self.leave_at < float("inf")
+        over = self.callers.max_wait if leaving else self._queueing() - PRESSED * self.usual_target
+        return max(0.0, min(self.callers.max_wait, over))
 
     def _wish(self, job: Job, want: Want) -> None:
         """Set what an op should do next; a final answer that is already wanted stands."""
@@ -517,7 +507,7 @@
             self.changed.append(job)
 
     def _room(self) -> float:
-        return self.machine.memory * MEMORY_FILL - self.memory - self.keys.memory()
+        return self.machine.memory * MEMORY_FILL - self.memory - len(self.keys.live) * self.machine.key_size
 
     def _give_up(self, id: Any) -> None:
         """Its answer is due: what never ran is nacked, the rest fails."""
@@ -529,8 +519,8 @@
     def _stops(self, job: Job) -> bool:
         """Whether its run can and should be stopped once nobody waits: it would hold a core for nobody.
         An op with an effect runs on, for its repeats are answered by its end."""
-        can = self.machine.halt is not facts.Halt.NOTHING
-        return can and job.at is At.ON_CORE and job.kind.repeat is Repeat.RETRYABLE
+        runs = job.at is At.ON_CORE and self.machine.halt is not facts.Halt.NOTHING
+        return runs and job.kind.repeat is Repeat.RETRYABLE
 
     def _answered(self, now: float, job: Job) -> None:
         """Answered, or nobody waits: what runs keeps its core and memory until its run ends."""
