--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -155,6 +155,7 @@
 
     def __init__(self, dependency: facts.Dependency, now: float) -> None:
         self.bound = dependency.fair_calls * CALL_FILL if dependency.kind is Below.SHARED else float("inf")
+        self.window = self.bound  # how many to have out; narrowed while they are slow
         self.linger_span, self.fair_span = dependency.linger, dependency.fair_span
         self.waiting: list[Job] = []  # emptied as calls go out or are given up
         self.lingering: deque[float] = deque()  # ends of abandoned calls; emptied as they pass
@@ -173,13 +174,17 @@
         """Whether one more may go out. A bound below one call is kept by the average instead."""
         hands = self.out + len(self.lingering)
         if self.bound >= 1:
-            return hands + 1 <= self.bound
+            return hands + 1 <= self.window
         return hands == 0 and self.mean < self.bound / 2
 
     def learn(self, took: float) -> None:
         """The usual time is the lowest recent mean: single calls differ too much to tell slowness from."""
         self.recent += (2 * NEWEST if self.usual else 1.0) * (took - self.recent)
         self.usual = min(self.recent, (self.usual or took) + NEWEST / 100 * (self.recent - self.usual))
+        # What lies below does less when crowded: slow calls that keep it crowded would keep themselves slow.
+        # Harm: where it is slow for other reasons, fewer calls are made than it could take.
+        wider = self.window * (1 - NEWEST) if self.slow() else self.window + NEWEST
+        self.window = max(1.0, min(self.bound, wider))
 
     def watch(self, ages: list[float]) -> None:
         """Calls that are out longer than the recent mean count before they end: some never do. With none out
@@ -199,7 +204,7 @@
 
     def wait(self, ahead: int) -> float:
         """Predicted time until a call with this many waiting before it is back."""
-        return self.recent * (1 + (self.out + ahead) / max(1.0, self.bound))
+        return self.recent * (1 + (self.out + ahead) / max(1.0, self.window))
 
 
 class Keys:
