Fewer calls are out once they take five times as long as usual

Guards against any crowding below; harm: a dependency slow for other reasons gets fewer calls than it could take.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -257,6 +257,13 @@
                 server.settle()
                 self.assertEqual(server.ids(Act.Nack), nacked)
 
+    def test_crowded_calls_narrow_the_window_and_quick_ones_open_it(self) -> None:
+        calls = Server(dependency=facts.Dependency(facts.Below.SHARED, 10.0, 5.0, 0.2)).yoke.calls
+        for took, window in [(0.02, 8.5), (0.2, 1.0), (0.02, 8.5)]:
+            for _ in range(100):
+                calls.learn(took)
+            self.assertAlmostEqual(calls.window, window, places=1)
+
     def test_a_call_is_given_up_while_a_poorer_answer_is_in_time(self) -> None:
         for kind, until in [(0, 105.94), (3, 102.0)]:
             with self.subTest(kind=kind):
--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -29,6 +29,7 @@
 SURE_MISS = 0.5  # a held op is stale when this part of its expected run no longer fits
 CALL_FILL = 0.85  # of `fair_calls`: the most calls that are out, lingering ones included
 SLOW_CALLS = 2.5  # calls are slow past this multiple of their usual time
+CROWDED_CALLS = 5  # past this multiple of it fewer calls are sent
 CALL_TRIES = 4  # of one call, where repeating it is allowed
 BACKOFF = 0.1  # of the target: the first wait before a call is repeated
 PRESSED = 0.5  # of the usual target: the wait at which callers are told to hold back
@@ -151,7 +152,7 @@
 
 
 class Calls:
-    """Calls to what lies below: how many may be out, and who goes first."""
+    """Calls to what lies below: how many may be out, and how slow they are."""
 
     def __init__(self, dependency: facts.Dependency, now: float) -> None:
         self.bound = dependency.fair_calls * CALL_FILL if dependency.kind is Below.SHARED else float("inf")
@@ -173,9 +174,7 @@
     def room(self) -> bool:
         """Whether one more may go out. A bound below one call is kept by the average instead."""
         hands = self.out + len(self.lingering)
-        if self.bound >= 1:
-            return hands + 1 <= self.window
-        return hands == 0 and self.mean < self.bound / 2
+        return hands + 1 <= self.window if self.bound >= 1 else not hands and self.mean < self.bound / 2
 
     def learn(self, took: float) -> None:
         """The usual time is the lowest recent mean: single calls differ too much to tell slowness from."""
@@ -183,8 +182,8 @@
         self.usual = min(self.recent, (self.usual or took) + NEWEST / 100 * (self.recent - self.usual))
         # What lies below does less when crowded: slow calls that keep it crowded would keep themselves slow.
         # Harm: where it is slow for other reasons, fewer calls are made than it could take.
-        wider = self.window * (1 - NEWEST) if self.slow() else self.window + NEWEST
-        self.window = max(1.0, min(self.bound, wider))
+        narrow = self.recent > CROWDED_CALLS * self.usual
+        self.window = max(1.0, min(self.bound, self.window + (-self.window if narrow else 1) * NEWEST))
 
     def watch(self, ages: list[float]) -> None:
         """Calls that are out longer than the recent mean count before they end: some never do. With none out
@@ -197,11 +196,6 @@
     def slow(self) -> bool:
         return 0 < SLOW_CALLS * self.usual < self.recent
 
-    def order(self) -> None:
-        """Oldest first; when calls below are slow by importance, as far as it hangs on the call."""
-        by_gain = self.slow()
-        self.waiting.sort(key=lambda job: (-job.gain * by_gain, job.reached))
-
     def wait(self, ahead: int) -> float:
         """Predicted time until a call with this many waiting before it is back."""
         return self.recent * (1 + (self.out + ahead) / max(1.0, self.window))
@@ -280,17 +274,16 @@
         heappush(self.dues, (job.due, job.id))
         first = self.jobs.get(op.repeats)
         dropped = first is not None and first.want is Want.NACK  # both in this batch: it will not have run
-        full = self._room() < (self.machine.key_size if job.keep_span else 0.0)
+        full = self._room() < self.machine.key_size * (job.keep_span > 0)
         closing = job.reached > self.grace_until or now > self.leave_at - job.cost - 2 * self.beat
         if op.repeats is not None and not dropped and job.keep_span:
-            self._wish(job, Want.REUSE)
-        elif closing or self._misses(now, job) or full:
-            self._wish(job, Want.NACK)
-        else:
-            self.hold.add(job)
-            if job.keep_span:
-                self.keys.keep(now, job)
-            self._wish(job, Want.STAY)
+            return self._wish(job, Want.REUSE)
+        if closing or full or self._misses(now, job):
+            return self._wish(job, Want.NACK)
+        self.hold.add(job)
+        if job.keep_span:
+            self.keys.keep(now, job)
+        return self._wish(job, Want.STAY)
 
     def ended(self, now: float, id: Any, outcome: Outcome) -> None:
         if job := self.jobs.get(id):
@@ -390,9 +383,10 @@
         """Let calls out; an op whose call cannot pay goes on without it or is failed."""
         calls = self.calls
         calls.book(now)
-        calls.order()
-        waiting, calls.waiting = calls.waiting, []
-        for job in waiting:
+        slow, waiting = calls.slow(), calls.waiting
+        calls.waiting = []
+        # Oldest first; when calls below are slow by importance, as far as it hangs on the call.
+        for job in sorted(waiting, key=lambda job: (-job.gain * slow, job.reached)):
             if job.at is not At.AT_CALL or job.answered:
                 continue
             missed = now + calls.wait(len(calls.waiting)) > job.target
