Ops on the cores count with their age in the predicted wait

Kept: guards against hangs and sudden slowness before any run has ended; harm: one very long run makes the wait look longer than it is.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -84,6 +84,19 @@
                 server.settle()
                 self.assertEqual(server.ids(Act.Nack)[-2:], nacked)
 
+    def test_cores_on_which_nothing_ends_look_full(self) -> None:
+        server = Server()
+        server.learned(0.1)
+        for id in range(4):
+            server.op(id)
+        server.settle()
+        for later, nacked in [(0.5, []), (4.0, [9])]:
+            server.now += later
+            server.op(9)
+            server.settle()
+            self.assertEqual(server.ids(Act.Nack), nacked)
+            server.yoke.gone(server.now, 9)
+
     def test_stale_held_ops_are_answered_at_once(self) -> None:
         server = Server()
         for id in range(5):
--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -345,10 +345,10 @@
         self.calls.watch([now - job.since for job in self.jobs.values() if job.at is At.CALLING])
         # Where some must miss, oldest first spends the cores on whoever asked first, and short targets are
         # never met behind long ones. Harm: what matters least waits longest, and is nacked for it.
-        self.hold.pressed = self._queueing() > PRESSED * self.least_target
+        self.hold.pressed = self._queueing(now) > PRESSED * self.least_target
         runs = [mean[0] for mean in self.pace.runs if mean]
         room = self.limit.limit * self.usual_target * len(runs) / max(sum(runs), self.beat)
-        value = self.voice.value(span, self._queueing() / (PRESSED * self.usual_target), room)
+        value = self.voice.value(span, self._queueing(now) / (PRESSED * self.usual_target), room)
         if value is not None and value != self.said:
             self.out.append(act.Say(value))
         self.said = value
@@ -449,26 +449,26 @@
             self.out.append(act.Fail(job.id))
             self._answered(now, job)
 
-    def _wait(self, key: int | None = None, importance: float = 0.0) -> float:
-        """Predicted wait of a new op: work ahead over the slots, or its key's own line over its share."""
+    def _wait(self, now: float, key: int | None = None, importance: float = 0.0) -> float:
+        """Predicted wait of a new op: work ahead over the slots, or its key's own line over its share. What
+        runs counts half its cost or its age: cores on which nothing ends have to look full."""
         limit = self.limit.limit
         if self.on_core + 1 <= limit and not self.hold.count:
             return 0.0
-        ahead = self.hold.ahead(importance)
-        if key is not None:
-            ahead = min(ahead, self.hold.ahead(importance, key) * limit / max(1.0, limit * SHARE))
-        running = sum(0.5 * job.cost for job in self.jobs.values() if job.at is At.ON_CORE)
-        return (ahead + running) / limit
+        own = self.hold.ahead(importance, key) * limit / max(1.0, limit * SHARE)
+        ahead = self.hold.ahead(importance) if key is None else min(self.hold.ahead(importance), own)
+        running = [max(job.cost, now - job.since) for job in self.jobs.values() if job.at is At.ON_CORE]
+        return (ahead + sum(running) / 2) / limit
 
-    def _queueing(self) -> float:
+    def _queueing(self, now: float) -> float:
         """What an op spends waiting here, read or not. A server that reads too late to run anything holds
         nothing: without the time unread it would look idle and go on inviting ops that it can only nack."""
-        return self.unread + self._wait()
+        return self.unread + self._wait(now)
 
     def _misses(self, now: float, job: Job) -> bool:
         """Whether it is predicted to miss its target; without history nothing is."""
         # A keyed op that ends too late cannot be tried again here: its repeats get the failed run's answer.
-        wait = self._wait(*job.line)
+        wait = self._wait(now, *job.line)
         margin = min(wait, job.spread) if job.kind.repeat is Repeat.KEYED else 0.0
         return job.cost > 0 and now + wait + margin + job.cost + self._off_cores(job) > job.target
 
@@ -496,7 +496,7 @@
     def _away(self, now: float) -> float:
         """How long a nacked caller should stay away: until the wait is back at the set point."""
         leaving = self.leave_at < float("inf")
-        over = self.callers.max_wait if leaving else self._queueing() - PRESSED * self.usual_target
+        over = self.callers.max_wait if leaving else self._queueing(now) - PRESSED * self.usual_target
         return max(0.0, min(self.callers.max_wait, over))
 
     def _wish(self, job: Job, want: Want) -> None:
