The run limit grows only while fewer ops want a core than there are

Guards against any lag of the gauge; harm: reading and checks want cores too, so the limit grows later where these fill them.

--- a/tests/server.py
+++ b/tests/server.py
@@ -48,7 +48,7 @@
 
     def beat(self, later: float = 0.06, busy: float = 1.0) -> list[Any]:
         self.now += later
-        self.yoke.woke(self.now, 0, (busy,))
+        self.yoke.woke(self.now, 0, (busy, self.yoke.on_core))
         return self.settle()
 
     def end(self, *ids: int, later: float = 0.0) -> None:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -120,6 +120,7 @@
         cases = [
             ("full cores: it stays", 1.0, {}, 4, 4),
             ("idle cores: it grows", 0.5, {}, 12, 16),
+            ("busy lags, no core is idle", 0.5, {"machine": {"gauges": ("busy", "runnable")}}, 4, 4),
             ("a cold server survives fewer", 0.5, {"survival": {"cold": True}}, 5, 9),
             ("memory for 40 held and six runs", 0.5, {"machine": {"memory": 640.0}}, 6, 6),
         ]
--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -24,7 +24,7 @@
 MEMORY_FILL = 0.95  # of the memory: the rest is for what is already on its way
 CROWD_FILL = 0.75  # of the survivable crowd: runs on the cores and calls that may come back together
 GROW, SHRINK = 2.0, 0.5  # cores a core and second by which the run limit grows and backs off
-IDLE_BUSY, FULL_BUSY = 0.9, 0.97  # cores idle below the first gauge value, saturated above the second
+IDLE_BUSY = 0.9  # cores idle below this value of the gauge
 NEWEST = 0.1  # weight of the newest value in recent run times and times unread
 SURE_MISS = 0.5  # a held op is stale when this part of its expected run no longer fits
 CALL_FILL = 0.85  # of `fair_calls`: the most calls that are out, lingering ones included
@@ -102,12 +102,14 @@
             warm = s.cold_share + (1 - s.cold_share) * (now - self.born) / s.cold_span
         return max(1.0, self.cores * (1 + (s.crowd - 1) * warm) * CROWD_FILL)
 
-    def adapt(self, now: float, busy: float | None, on_core: int, held: bool) -> None:
+    def adapt(self, now: float, busy: float | None, wanting: float, on_core: int, held: bool) -> None:
         """Grow while cores idle and work is held; with the cores full, running more finishes no more."""
         span, self.changed = now - self.changed, now
-        if busy is not None and held and busy < IDLE_BUSY and on_core >= int(self.limit):
+        # The busy gauge is a mean and lags: what wants a core now tells first that none is idle.
+        idle = busy is not None and busy < IDLE_BUSY and wanting < self.cores
+        if idle and held and on_core >= int(self.limit):
             self.limit += GROW * self.cores * span
-        elif busy is None or busy > FULL_BUSY or not held:
+        elif not (idle and held):
             self.limit -= SHRINK * self.cores * span
         self.limit = min(max(self.limit, self.cores), self.ceiling(now))
 
@@ -118,20 +120,17 @@
     def __init__(self) -> None:
         self.lines: dict[tuple[int, float], deque[Job]] = {}
         self.work: dict[tuple[int, float], float] = {}  # expected run time held, by line; goes with it
-        self.count = 0
         self.pressed = False  # some must miss: the more important ops are started first
 
     def add(self, job: Job) -> None:
         job.queued = True
         self.lines.setdefault(job.line, deque()).append(job)
         self.work[job.line] = self.work.get(job.line, 0.0) + job.cost
-        self.count += 1
 
     def drop(self, job: Job) -> None:
         """Take one out, from wherever it stands."""
         job.queued = False
         self.lines[job.line].remove(job)
-        self.count -= 1
         self.work[job.line] -= job.cost
         if not self.lines[job.line]:
             del self.lines[job.line], self.work[job.line]
@@ -330,16 +329,16 @@
 
     def woke(self, now: float, mark: int, gauges: tuple[float, ...]) -> None:
         """The beat: gauges, answers due, stale ops, what is said. Every span in here is coarse."""
-        busy = dict(zip(self.machine.gauges, gauges, strict=False)).get("busy")
+        seen = dict(zip(self.machine.gauges, gauges, strict=False))
         span = now - self.limit.changed
-        self.limit.adapt(now, busy, self.on_core, self.hold.count > 0)
+        self.limit.adapt(now, seen.get("busy"), seen.get("runnable", 0), self.on_core, bool(self.hold.lines))
         self.keys.expire(now)
         while self.dues and self.dues[0][0] <= now + 1.5 * self.beat:
             self._give_up(heappop(self.dues)[1])
         closing = now >= self.leave_at - 2.5 * self.beat  # all that was read is answered before the stop
         for job in list(self.jobs.values()):
             # A run past its target earns nothing; while others are held, they wait for its core.
-            spent = now > job.target and not job.kind.late_share and self.hold.count and self._stops(job)
+            spent = now > job.target and not job.kind.late_share and self.hold.lines and self._stops(job)
             if closing or spent or (job.queued and self._stale(now, job)):
                 self._give_up(job.id)
         self.calls.watch([now - job.since for job in self.jobs.values() if job.at is At.CALLING])
@@ -392,7 +391,7 @@
             missed = now + calls.wait(len(calls.waiting)) > job.target
             if missed and job.kind.poorer_share > job.kind.late_share:
                 job.want = Want.GO_ON
-            elif now > job.target and not job.kind.late_share and self.hold.count:
+            elif now > job.target and not job.kind.late_share and self.hold.lines:
                 job.want = Want.FAIL
             elif job.not_before <= now and calls.room():
                 job.want = Want.CALL
@@ -453,7 +452,7 @@
         """Predicted wait of a new op: work ahead over the slots, or its key's own line over its share. What
         runs counts half its cost or its age: cores on which nothing ends have to look full."""
         limit = self.limit.limit
-        if self.on_core + 1 <= limit and not self.hold.count:
+        if self.on_core + 1 <= limit and not self.hold.lines:
             return 0.0
         own = self.hold.ahead(importance, key) * limit / max(1.0, limit * SHARE)
         ahead = self.hold.ahead(importance) if key is None else min(self.hold.ahead(importance), own)
