--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -28,7 +28,7 @@
 NEWEST = 0.1  # weight of the newest value in recent run times and times unread
 SURE_MISS = 0.5  # a held op is stale when this part of its expected run no longer fits
 CALL_FILL = 0.85  # of `fair_calls`: the most calls that are out, lingering ones included
-SLOW_CALLS = 3  # calls are slow past this multiple of their usual time
+SLOW_CALLS = 2.5  # calls are slow past this multiple of their usual time
 CROWDED_CALLS = 5  # past this multiple of it fewer calls are sent
 CALL_TRIES = 4  # of one call, where repeating it is allowed
 BACKOFF = 0.1  # of the target: the first wait before a call is repeated
@@ -177,7 +177,7 @@
 
     def learn(self, took: float) -> None:
         """The usual time is the lowest recent mean: single calls differ too much to tell slowness from."""
-        self.recent += (NEWEST if self.usual else 1.0) * (took - self.recent)
+        self.recent += (2 * NEWEST if self.usual else 1.0) * (took - self.recent)
         self.usual = min(self.recent, (self.usual or took) + NEWEST / 100 * (self.recent - self.usual))
         # What lies below does less when crowded: slow calls that keep it crowded would keep themselves slow.
         # Harm: where it is slow for other reasons, fewer calls are made than it could take.
