--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -26,6 +26,7 @@
 GROW, SHRINK = 2.0, 0.5  # cores a core and second by which the run limit grows and backs off
 IDLE_BUSY = 0.9  # cores idle below this value of the gauge
 NEWEST = 0.1  # weight of the newest value in recent run times and times unread
+HINT_TRUST = 0.75  # power of a hint against its mean: large hints mostly are too large, small ones too small
 SURE_MISS = 0.5  # a held op is stale when this part of its expected run no longer fits
 CALL_FILL = 0.85  # of `fair_calls`: the most calls that are out, lingering ones included
 SLOW_CALLS = 2.5  # calls are slow past this multiple of their usual time
@@ -84,7 +85,7 @@
         mean = self.runs[op.type]
         if mean is None:
             return [0.0, 0.0, 0.0]
-        scale = op.hint / mean[3] if op.hint and mean[3] else 1.0
+        scale = (op.hint / mean[3]) ** HINT_TRUST if op.hint and mean[3] else 1.0
         return [value * scale for value in mean[:3]]
 
 
