A large hint is doubted only where nothing waits

Cause: hints are noisy, so the largest are mostly too large, and idle servers refused what they could have done. Guards against all unsure hints; harm: some large ops run in vain on idle cores.

--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -26,7 +26,7 @@
 GROW, SHRINK = 2.0, 0.5  # cores a core and second by which the run limit grows and backs off
 IDLE_BUSY = 0.9  # cores idle below this value of the gauge
 NEWEST = 0.1  # weight of the newest value in recent run times and times unread
-HINT_TRUST = 0.75  # power of a hint against its mean: large hints mostly are too large, small ones too small
+HINT_DOUBT = 0.25  # power of its scale by which a hint is doubted where nothing waits
 SURE_MISS = 0.5  # a held op is stale when this part of its expected run no longer fits
 CALL_FILL = 0.85  # of `fair_calls`: the most calls that are out, lingering ones included
 SLOW_CALLS = 2.5  # calls are slow past this multiple of their usual time
@@ -61,7 +61,7 @@
         # An answer after the caller gave this try up is lost like one after the target, and the try that
         # follows stands in the line as well: without this, a short patience feeds a storm of retries.
         self.target = min(self.due, self.reached + kind.target + kind.stretch * op.hint)
-        self.cost, self.away, self.spread = expect  # times on the cores and off, the error in them
+        self.cost, self.away, self.spread, self.scale = expect  # times on the cores and off, their error
         self.at, self.want, self.tries, self.keep_span = At.HELD, Want.STAY, 0, 0.0
         self.answered = self.kept = self.queued = self.further = False
         self.since, self.on, self.off, self.not_before = now, 0.0, 0.0, 0.0  # since: when it came to be `at`
@@ -81,12 +81,12 @@
         self.runs[job.op.type] = [a + NEWEST * (b - a) for a, b in zip(old, new, strict=True)]
 
     def expect(self, op: facts.Op) -> list[float]:
-        """Expected time on a core and off it, and how far off that is on average; zeros without history."""
+        """Expected time on a core and off it, its mean error, the hint's scale; zeros without history."""
         mean = self.runs[op.type]
         if mean is None:
-            return [0.0, 0.0, 0.0]
-        scale = (op.hint / mean[3]) ** HINT_TRUST if op.hint and mean[3] else 1.0
-        return [value * scale for value in mean[:3]]
+            return [0.0, 0.0, 0.0, 1.0]
+        scale = op.hint / mean[3] if op.hint and mean[3] else 1.0
+        return [mean[0] * scale, mean[1] * scale, mean[2] * scale, scale]
 
 
 class RunLimit:
@@ -272,11 +272,10 @@
         self.memory += job.size
         self.unread += NEWEST * (op.unread - self.unread)
         heappush(self.dues, (job.due, job.id))
-        first = self.jobs.get(op.repeats)
-        dropped = first is not None and first.want is Want.NACK  # both in this batch: it will not have run
+        first = self.jobs.get(op.repeats)  # where both came in this batch, it may be nacked without a run
         full = self._room() < self.machine.key_size * (job.keep_span > 0)
         closing = job.reached > self.grace_until or now > self.leave_at - job.cost - 2 * self.beat
-        if op.repeats is not None and not dropped and job.keep_span:
+        if op.repeats is not None and job.keep_span and not (first and first.want is Want.NACK):
             return self._wish(job, Want.REUSE)
         if closing or full or self._misses(now, job):
             return self._wish(job, Want.NACK)
@@ -359,10 +358,9 @@
         self._shed_memory()
         for job in self.changed:
             self._difference(now, job)
-        self.changed.clear()
         self._start(now)
         self._let_out(now)
-        out, self.out = self.out, []
+        out, self.out, self.changed = self.out, [], []
         return out
 
     def _start(self, now: float) -> None:
@@ -470,7 +468,9 @@
         # A keyed op that ends too late cannot be tried again here: its repeats get the failed run's answer.
         wait = self._wait(now, *job.line)
         margin = min(wait, job.spread) if job.kind.repeat is Repeat.KEYED else 0.0
-        return job.cost > 0 and now + wait + margin + job.cost + self._off_cores(job) > job.target
+        # Large hints are mostly too large; under pressure no op gets the benefit of that doubt.
+        run = (job.cost + self._off_cores(job)) / (1.0 if wait else job.scale**HINT_DOUBT)
+        return job.cost > 0 and now + wait + margin + run > job.target
 
     def _stale(self, now: float, job: Job) -> bool:
         """Whether a held op has passed its target, or surely will; a keyed op must be likely to make it."""
