--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -35,7 +35,7 @@
 BACKOFF = 0.1  # of the target: the first wait before a call is repeated
 PRESSED = 0.5  # of the usual target: the wait at which callers are told to hold back
 FLOOR_GAIN = 0.5  # a second and unit of pressure past the set point
-FLOOR_TOP = 0.9
+FLOOR_AT, FLOOR_TOP = 2.0, 0.9  # pressure at which it rises: it cuts within every share alike, so late
 STORM = 0.5  # of the ops that arrive: this part being further tries, the trouble is everyone's
 SPENT = 0.9  # of a type's patience: an op with less left is a further try
 PATIENCE_FADE = 0.9995  # an op: a longest time left that is not seen again is forgotten
@@ -227,7 +227,7 @@
     def value(self, span: float, pressure: float, room: float) -> float | None:
         """Pressure 1 is where callers should begin to hold back; room is how many ops fit in hand in time."""
         if self.signal is Signal.FLOOR:
-            self.floor = min(FLOOR_TOP, max(0.0, self.floor + span * FLOOR_GAIN * (pressure - 1)))
+            self.floor = min(FLOOR_TOP, max(0.0, self.floor + span * FLOOR_GAIN * (pressure - FLOOR_AT)))
             return round(self.floor, 2)
         if self.signal is Signal.ALLOWANCE:
             part = self.part * (1 + span * ALLOW_GAIN * max(-1.0, min(1.0, 1 - pressure)))
