--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -35,7 +35,7 @@
 BACKOFF = 0.1  # of the target: the first wait before a call is repeated
 PRESSED = 0.5  # of the usual target: the wait at which callers are told to hold back
 FLOOR_GAIN = 0.5  # a second and unit of pressure past the set point
-FLOOR_CALM, FLOOR_TOP = 2.0, 0.9  # it rises at this pressure instead of 1 where most ops are first tries
+FLOOR_TOP = 0.9
 STORM = 0.5  # of the ops that arrive: this part being further tries, the trouble is everyone's
 SPENT = 0.9  # of a type's patience: an op with less left is a further try
 PATIENCE_FADE = 0.9995  # an op: a longest time left that is not seen again is forgotten
@@ -224,12 +224,10 @@
         self.signal, self.callers = signal, max(1, callers)
         self.floor, self.part = 0.0, ALLOW_TOP
 
-    def value(self, span: float, pressure: float, room: float, storm: bool) -> float | None:
+    def value(self, span: float, pressure: float, room: float) -> float | None:
         """Pressure 1 is where callers should begin to hold back; room is how many ops fit in hand in time."""
         if self.signal is Signal.FLOOR:
-            # It cuts within every tenant's share alike; without a storm of tries the share does better.
-            over = pressure - (1.0 if storm else FLOOR_CALM)
-            self.floor = min(FLOOR_TOP, max(0.0, self.floor + span * FLOOR_GAIN * over))
+            self.floor = min(FLOOR_TOP, max(0.0, self.floor + span * FLOOR_GAIN * (pressure - 1)))
             return round(self.floor, 2)
         if self.signal is Signal.ALLOWANCE:
             part = self.part * (1 + span * ALLOW_GAIN * max(-1.0, min(1.0, 1 - pressure)))
@@ -349,8 +347,7 @@
         self.hold.pressed = self._queueing(now) > PRESSED * self.least_target
         runs = [mean[0] for mean in self.pace.runs if mean]
         room = self.limit.limit * self.usual_target * len(runs) / max(sum(runs), self.beat)
-        pressure = self._queueing(now) / (PRESSED * self.usual_target)
-        value = self.voice.value(span, pressure, room, self.storm > STORM / 2)
+        value = self.voice.value(span, self._queueing(now) / (PRESSED * self.usual_target), room)
         if value is not None and value != self.said:
             self.out.append(act.Say(value))
         self.said = value
