--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -39,7 +39,7 @@
 STORM = 0.5  # of the ops that arrive: this part being further tries, the trouble is everyone's
 SPENT = 0.9  # of a type's patience: an op with less left is a further try
 PATIENCE_FADE = 0.9995  # an op: a longest time left that is not seen again is forgotten
-ALLOW_GAIN = 4.0  # a second and unit of pressure off the set point, as part of the allowance
+ALLOW_GAIN = 2.0  # a second and unit of pressure off the set point, as part of the allowance
 ALLOW_LEAST, ALLOW_TOP = 0.02, 0.5  # of the ops that fit in hand in time, for all callers together
 
 
