A held op that is gone takes its key along; repeats at the very end are answered

Cause, found by reading: the key of a held op whose caller left stayed, so its repeats got a failed answer; a repeat that came after the last beat before a stop was not answered.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -208,6 +208,26 @@
             answers += server.ids(Act.Nack) + server.ids(Act.Fail)
         self.assertEqual(server.yoke.jobs.keys() - {id for id in answers}, set())
 
+    def test_a_repeat_at_the_very_end_is_answered_at_once(self) -> None:
+        for left, then in [(5.0, Act.Reuse), (0.1, Act.Fail)]:
+            server = Server()
+            server.yoke.leave(server.now, left)
+            server.op(1, type=1, repeats=77)
+            server.settle()
+            self.assertEqual(server.ids(then), [1])
+
+    def test_the_key_of_a_held_op_goes_with_its_caller(self) -> None:
+        """Its repeats would be answered by an op that never ran; that of a started op stays."""
+        for held, forgotten in [(True, [9]), (False, [])]:
+            server = Server()
+            for id in range(4 * held):
+                server.op(id)
+            server.op(9, type=1)
+            server.settle()
+            server.yoke.gone(server.now, 9)
+            server.settle()
+            self.assertEqual(server.ids(Act.Forget), forgotten)
+
     def test_answered_run_keeps_its_core(self) -> None:
         server = Server()
         server.op(1, left=0.05)
--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -276,7 +276,7 @@
         full = self._room() < self.machine.key_size * (job.keep_span > 0)
         closing = job.reached > self.grace_until or now > self.leave_at - job.cost - 2 * self.beat
         if op.repeats is not None and job.keep_span and not (first and first.want is Want.NACK):
-            return self._wish(job, Want.REUSE)
+            return self._wish(job, Want.FAIL if now > self.leave_at - 2 * self.beat else Want.REUSE)
         if closing or full or self._misses(now, job):
             return self._wish(job, Want.NACK)
         self.hold.add(job)
@@ -306,10 +306,9 @@
             self.calls.lingering.append(now + self.calls.linger_span)
         if outcome not in facts.NEVER_RAN:
             self.calls.learn(took)
-        may_repeat = job.kind.repeat is Repeat.RETRYABLE or outcome in facts.NEVER_RAN
         if outcome is Outcome.OK:
             return
-        if may_repeat and job.tries < CALL_TRIES:
+        if (job.kind.repeat is Repeat.RETRYABLE or outcome in facts.NEVER_RAN) and job.tries < CALL_TRIES:
             wait = BACKOFF * job.kind.target * 2 ** (job.tries - 1)
             job.not_before = now + wait * self.random.uniform(0.5, 1)
             self.calls.waiting.append(job)
@@ -378,12 +377,12 @@
             self._difference(now, job)
 
     def _let_out(self, now: float) -> None:
-        """Let calls out; an op whose call cannot pay goes on without it or is failed."""
+        """Let calls out, oldest first; by importance, as far as it hangs on the call, when calls below are
+        slow. An op whose call cannot pay goes on without it or is failed."""
         calls = self.calls
         calls.book(now)
         slow, waiting = calls.slow(), calls.waiting
         calls.waiting = []
-        # Oldest first; when calls below are slow by importance, as far as it hangs on the call.
         for job in sorted(waiting, key=lambda job: (-job.gain * slow, job.reached)):
             if job.at is not At.AT_CALL or job.answered:
                 continue
@@ -434,9 +433,6 @@
             self.out.append(act.Reuse(job.id))
             self._move(now, job, At.REUSING)
         elif want is Want.NACK:
-            if job.kept:
-                self.out.append(act.Forget(job.id))
-            self.keys.live.discard(job.id)
             # Turned away elsewhere before, and most ops are: others nack as well, and walking on would only
             # feed the storm. Harm: a server that is still sound may be left out until the storm has passed.
             self.out.append(act.Nack(job.id, job.further and self.storm > STORM, self._away(now)))
@@ -551,5 +547,9 @@
         if at is At.GONE:
             if was is At.CALLING:
                 self.calls.lingering.append(now + self.calls.linger_span)
+            if was is At.HELD:  # never ran: the key of one that is gone would fail all its repeats
+                self.keys.live.discard(job.id)
+                if job.kept:
+                    self.out.append(act.Forget(job.id))
             del self.jobs[job.id]
             self.memory -= job.size
