Memory short: only shedding nacks, with the arrival among the held

Cause, found by taking lines out under the tests: an arrival without room was nacked and a held op shed for it as well. Tests added for memory, the margin of keyed ops, and a wanted answer that stands; with them every line tried fails a test when taken out.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -182,13 +182,41 @@
             self.assertEqual(len(server.yoke.keys.live), kept)
 
     def test_memory(self) -> None:
-        """No room for an op, or for its key, means no run of it; the least important held op goes first."""
-        server = Server(machine={"memory": 100.0})
-        for id, type in enumerate([0, 0, 2, 2, 2, 2, 2, 2, 2, 2, 2]):
-            server.op(id, type=type)
+        """Short of memory, the least important and youngest held op goes first; a key needs room."""
+        for kinds, nacked in [([0, 0] + [2] * 9, [1, 0]), ([1] * 7, [6])]:
+            with self.subTest(kinds=kinds):
+                server = Server(machine={"memory": 100.0})
+                for id, kind in enumerate(kinds):
+                    server.now += 0.001
+                    server.op(id, type=kind)
+                server.settle()
+                self.assertEqual(server.ids(Act.Nack), nacked)
+
+    def test_a_wanted_answer_stands(self) -> None:
+        """An answer due and a failed call in one batch: the answer is given, the op does not go on."""
+        server = Server()
+        server.op(0, type=3, left=1.0)
         server.settle()
-        self.assertLessEqual(server.yoke.memory, 100.0)
-        self.assertTrue(server.ids(Act.Nack))
+        server.yoke.blocked(server.now, 0)
+        server.settle()
+        server.yoke.jobs[0].tries = 9
+        server.now += 0.95
+        server.yoke.woke(server.now, 0, ())
+        server.yoke.called(server.now, 0, Outcome.ERROR, 0.9)
+        server.settle()
+        self.assertEqual((server.ids(Act.Fail), server.ids(Act.GoOn)), ([0], []))
+
+    def test_a_keyed_op_needs_a_margin(self) -> None:
+        for kind, nacked in [(0, []), (1, [99])]:
+            server = Server()
+            server.yoke.pace.runs[kind] = [0.5, 0.0, 0.0, 0.0]
+            for id in range(10):
+                server.op(id, type=kind)
+            server.settle()
+            server.yoke.pace.runs[kind] = [0.5, 0.0, 0.8, 0.0]
+            server.op(99, type=kind)
+            server.settle()
+            self.assertEqual(server.ids(Act.Nack), nacked)
 
     def test_drain(self) -> None:
         server = Server()
--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -273,11 +273,10 @@
         self.unread += NEWEST * (op.unread - self.unread)
         heappush(self.dues, (job.due, job.id))
         first = self.jobs.get(op.repeats)  # where both came in this batch, it may be nacked without a run
-        full = self._room() < self.machine.key_size * (job.keep_span > 0)
         closing = job.reached > self.grace_until or now > self.leave_at - job.cost - 2 * self.beat
         if op.repeats is not None and job.keep_span and not (first and first.want is Want.NACK):
             return self._wish(job, Want.FAIL if now > self.leave_at - 2 * self.beat else Want.REUSE)
-        if closing or full or self._misses(now, job):
+        if closing or self._misses(now, job):
             return self._wish(job, Want.NACK)
         self.hold.add(job)
         if job.keep_span:
@@ -354,9 +353,9 @@
 
     def settle(self, now: float) -> list[act.Action]:
         """Decide what should run and call now, and return the difference to what is."""
-        self._shed_memory()
         for job in self.changed:
             self._difference(now, job)
+        self._shed_memory(now)
         self._start(now)
         self._let_out(now)
         out, self.out, self.changed = self.out, [], []
@@ -397,14 +396,15 @@
                 calls.waiting.append(job)
             self._difference(now, job)
 
-    def _shed_memory(self) -> None:
+    def _shed_memory(self, now: float) -> None:
         """Memory short: the least important held ops go first, the youngest of them before older ones."""
         short = -self._room()
         held = [job for job in self.jobs.values() if job.queued] if short > 0 else []
         for job in sorted(held, key=lambda job: (job.kind.importance, -job.reached)):
             if short > 0:
                 short -= job.size + (self.machine.key_size if job.keep_span else 0.0)
-                self._wish(job, Want.NACK)
+                job.want = Want.NACK
+                self._difference(now, job)
 
     def _difference(self, now: float, job: Job) -> None:
         """The one place where an op's wanted state, against its present one, becomes actions."""
