Work done twice taken out of the beat and the wait estimate

The beat took the queueing twice, the estimate summed the hold twice for one key or none, and the adapter checked a row's length that it had just made sure of.

--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -342,10 +342,11 @@
         self.calls.watch([now - job.since for job in self.jobs.values() if job.at is At.CALLING])
         # Where some must miss, oldest first spends the cores on whoever asked first, and short targets are
         # never met behind long ones. Harm: what matters least waits longest, and is nacked for it.
-        self.hold.pressed = self._queueing(now) > PRESSED * self.least_target
+        queueing = self._queueing(now)
+        self.hold.pressed = queueing > PRESSED * self.least_target
         runs = [mean[0] for mean in self.pace.runs if mean]
         room = self.limit.limit * self.usual_target * len(runs) / max(sum(runs), self.beat)
-        value = self.voice.value(span, self._queueing(now) / (PRESSED * self.usual_target), room)
+        value = self.voice.value(span, queueing / (PRESSED * self.usual_target), room)
         if value is not None and value != self.said:
             self.out.append(act.Say(value))
         self.said = value
@@ -365,9 +366,8 @@
         """Start held ops while the limit, the ceiling and the memory leave room."""
         limit, ceiling = self.limit.limit, self.limit.ceiling(now)
         while self.on_core + 1 <= limit:
-            crowd = self.on_core + self.calls.out + len(self.calls.waiting)
             job = self.hold.next(self.running, max(1.0, limit * SHARE))
-            if job is None or crowd + 1 > ceiling:
+            if job is None or self.on_core + self.calls.out + len(self.calls.waiting) + 1 > ceiling:
                 break
             stale = self._stale(now, job)
             if not stale and self._room() < job.size * (self.machine.run_factor - 1):
@@ -449,10 +449,10 @@
         limit = self.limit.limit
         if self.on_core + 1 <= limit and not self.hold.lines:
             return 0.0
-        own = self.hold.ahead(importance, key) * limit / max(1.0, limit * SHARE)
-        ahead = self.hold.ahead(importance) if key is None else min(self.hold.ahead(importance), own)
+        ahead = self.hold.ahead(importance)
+        own = ahead if key is None else self.hold.ahead(importance, key) * limit / max(1.0, limit * SHARE)
         running = [max(job.cost, now - job.since) for job in self.jobs.values() if job.at is At.ON_CORE]
-        return (ahead + sum(running) / 2) / limit
+        return (min(ahead, own) + sum(running) / 2) / limit
 
     def _queueing(self, now: float) -> float:
         """What an op spends waiting here, read or not. A server that reads too late to run anything holds
--- a/thymeyoke/drill/words.py
+++ b/thymeyoke/drill/words.py
@@ -124,7 +124,7 @@
         row[10] or 0.0,
         (row[11] or 0) * MICRO,
         row[12] or 0,
-        (row[13] if len(row) > 13 and row[13] else 0) * MICRO,
+        (row[13] or 0) * MICRO,
     )
 
 
