--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -179,7 +179,7 @@
         server.end(1)
         for later, kept in [(9.0, 1), (2.0, 0)]:
             server.beat(later=later)
-            self.assertEqual(len(server.yoke.keys.live), kept)
+            self.assertEqual(len(server.yoke.keys), kept)
 
     def test_memory(self) -> None:
         """Short of memory, the least important and youngest held op goes first; a key needs room."""
--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -41,10 +41,11 @@
 PATIENCE_FADE = 0.9995  # an op: a longest time left that is not seen again is forgotten
 ALLOW_GAIN = 2.0  # a second and unit of pressure off the set point, as part of the allowance
 ALLOW_LEAST, ALLOW_TOP = 0.02, 0.5  # of the ops that fit in hand in time, for all callers together
+FEW_LINKS = 4  # connections a core that are kept as long as callers like
+LINK_STEP = 1 / 20  # of the idle span: the steps by which it is cut, and the least that is left of it
 
 
-# Where an op in hand is, and what it should do next. STAY asks for nothing; from NACK on wants are final
-# answers, and STOP also frees the core.
+# Where an op in hand is, and what it should do next. From NACK on wants are final; STOP frees the core too.
 At = IntEnum("At", "HELD ON_CORE AT_CALL CALLING REUSING GONE")
 Want = IntEnum("Want", "STAY RUN CALL GO_ON REUSE NACK FAIL STOP")
 
@@ -201,27 +202,11 @@
         return self.recent * (1 + (self.out + ahead) / max(1.0, self.window))
 
 
-class Keys:
-    """Retained repeats and their memory; entries go when their window has passed."""
-
-    def __init__(self) -> None:
-        self.live: set[Any] = set()
-        self.ends: list[tuple[float, Any]] = []
-
-    def keep(self, now: float, job: Job) -> None:
-        self.live.add(job.id)
-        heappush(self.ends, (now + job.keep_span, job.id))
-
-    def expire(self, now: float) -> None:
-        while self.ends and self.ends[0][0] < now:
-            self.live.discard(heappop(self.ends)[1])
-
-
 class Voice:
     """What callers are told with every answer, from the pressure that the wait estimate gives."""
 
-    def __init__(self, signal: Signal, callers: int) -> None:
-        self.signal, self.callers = signal, max(1, callers)
+    def __init__(self, signal: Signal, callers: int, idle: float, few: float) -> None:
+        self.signal, self.callers, self.idle, self.few = signal, max(1, callers), idle, few
         self.floor, self.part = 0.0, ALLOW_TOP
 
     def value(self, span: float, pressure: float, room: float) -> float | None:
@@ -236,6 +221,14 @@
         return round(min(1.0, max(0.1, 1.5 - pressure / 2)), 2) if self.signal is Signal.WEIGHT else None
 
 
+    def links(self, now_open: float) -> float:
+        """How long a connection may be unused. Each takes a part of the cores, and past a number that is told
+        nowhere new callers get none: with many callers of few ops each, most stand unused until then. Harm:
+        where they cost little, callers that come seldom shake hands anew for nothing."""
+        part = min(1.0, (self.few / max(1.0, now_open)) ** 2)
+        return self.idle * LINK_STEP * max(1, round(part / LINK_STEP))
+
+
 class Choice:
     """One server's life: the parts above, joined."""
 
@@ -250,7 +243,8 @@
         self.usual_target, self.least_target = sum(targets) / len(targets), min(targets)
         self.pace, self.hold = Pace(len(op_types)), Hold()
         self.limit, self.calls = RunLimit(machine.cores, now, survival), Calls(dependency, now)
-        self.keys, self.voice = Keys(), Voice(callers.signal, callers.count)
+        self.voice = Voice(callers.signal, callers.count, callers.idle, FEW_LINKS * machine.cores)
+        self.keys: dict[Any, float] = {}  # ends of the retained repeats' windows; emptied as they pass
         self.jobs: dict[Any, Job] = {}  # ops in hand; emptied by their answers and ends
         self.dues: list[tuple[float, Any]] = []  # emptied as their moments pass
         self.changed: list[Job] = []  # ops whose wanted state moved; emptied by every settle
@@ -259,7 +253,7 @@
         self.storm, self.patience = 0.0, [0.0] * len(op_types)
         self.leave_at = self.grace_until = float("inf")
         self.out: list[act.Action] = [act.Health(True, True), act.Wake(0, self.beat)]
-        self.said: float | None = None
+        self.told: list[act.Action] = [act.Trim(callers.idle)]
 
     def take(self, now: float, op: facts.Op) -> None:
         kind = self.kinds[op.type]
@@ -280,7 +274,7 @@
             return self._wish(job, Want.NACK)
         self.hold.add(job)
         if job.keep_span:
-            self.keys.keep(now, job)
+            self.keys[job.id] = now + job.keep_span
         return self._wish(job, Want.STAY)
 
     def ended(self, now: float, id: Any, outcome: Outcome) -> None:
@@ -330,7 +324,7 @@
         seen = dict(zip(self.machine.gauges, gauges, strict=False))
         span = now - self.limit.changed
         self.limit.adapt(now, seen.get("busy"), seen.get("runnable", 0), self.on_core, bool(self.hold.lines))
-        self.keys.expire(now)
+        self.keys = {id: end for id, end in self.keys.items() if end >= now}
         while self.dues and self.dues[0][0] <= now + 1.5 * self.beat:
             self._give_up(heappop(self.dues)[1])
         closing = now >= self.leave_at - 2.5 * self.beat  # all that was read is answered before the stop
@@ -347,10 +341,10 @@
         runs = [mean[0] for mean in self.pace.runs if mean]
         room = self.limit.limit * self.usual_target * len(runs) / max(sum(runs), self.beat)
         value = self.voice.value(span, queueing / (PRESSED * self.usual_target), room)
-        if value is not None and value != self.said:
-            self.out.append(act.Say(value))
-        self.said = value
-        self.out.append(act.Wake(0, self.beat))
+        told = [act.Trim(self.voice.links(seen.get("connections", 0)))]
+        told += [] if value is None else [act.Say(value)]
+        self.out += [tell for tell in told if tell not in self.told] + [act.Wake(0, self.beat)]
+        self.told = told
 
     def settle(self, now: float) -> list[act.Action]:
         """Decide what should run and call now, and return the difference to what is."""
@@ -502,7 +496,7 @@
             self.changed.append(job)
 
     def _room(self) -> float:
-        return self.machine.memory * MEMORY_FILL - self.memory - len(self.keys.live) * self.machine.key_size
+        return self.machine.memory * MEMORY_FILL - self.memory - len(self.keys) * self.machine.key_size
 
     def _give_up(self, id: Any) -> None:
         """Its answer is due: what never ran is nacked, the rest fails."""
@@ -548,7 +542,7 @@
             if was is At.CALLING:
                 self.calls.lingering.append(now + self.calls.linger_span)
             if was is At.HELD:  # never ran: the key of one that is gone would fail all its repeats
-                self.keys.live.discard(job.id)
+                self.keys.pop(job.id, None)
                 if job.kept:
                     self.out.append(act.Forget(job.id))
             del self.jobs[job.id]
