--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -221,11 +221,12 @@
         return round(min(1.0, max(0.1, 1.5 - pressure / 2)), 2) if self.signal is Signal.WEIGHT else None
 
 
-    def links(self, now_open: float) -> float:
+    def links(self, now_open: float, pressure: float) -> float:
         """How long a connection may be unused. Each takes a part of the cores, and past a number that is told
-        nowhere new callers get none: with many callers of few ops each, most stand unused until then. Harm:
-        where they cost little, callers that come seldom shake hands anew for nothing."""
-        part = min(1.0, (self.few / max(1.0, now_open)) ** 2)
+        nowhere new callers get none: with many callers of few ops each, most stand unused until then. Under
+        pressure that is welcome: a full table turns callers away for nothing, a try let in costs a read.
+        Harm: where they cost little, callers that come seldom shake hands anew for nothing."""
+        part = min(1.0, max(pressure, (self.few / max(1.0, now_open)) ** 2))
         return self.idle * LINK_STEP * max(1, round(part / LINK_STEP))
 
 
@@ -340,8 +341,9 @@
         self.hold.pressed = queueing > PRESSED * self.least_target
         runs = [mean[0] for mean in self.pace.runs if mean]
         room = self.limit.limit * self.usual_target * len(runs) / max(sum(runs), self.beat)
-        value = self.voice.value(span, queueing / (PRESSED * self.usual_target), room)
-        told = [act.Trim(self.voice.links(seen.get("connections", 0)))]
+        pressure = queueing / (PRESSED * self.usual_target)
+        value = self.voice.value(span, pressure, room)
+        told = [act.Trim(self.voice.links(seen.get("connections", 0), pressure))]
         told += [] if value is None else [act.Say(value)]
         self.out += [tell for tell in told if tell not in self.told] + [act.Wake(0, self.beat)]
         self.told = told
