A server on which nothing is read forgets its time unread

Cause: the mean of times unread moved only with arrivals, so a server that callers had left went on looking full.

--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -325,6 +325,9 @@
         seen = dict(zip(self.machine.gauges, gauges, strict=False))
         span = now - self.limit.changed
         self.limit.adapt(now, seen.get("busy"), seen.get("runnable", 0), self.on_core, bool(self.hold.lines))
+        # What is on the cores wants all there is: nothing is being read, so nothing waits unread. Without this
+        # a server that callers have left goes on looking full, and they stay away.
+        self.unread *= seen.get("runnable", self.on_core + 1) > self.on_core
         self.keys = {id: end for id, end in self.keys.items() if end >= now}
         while self.dues and self.dues[0][0] <= now + 1.5 * self.beat:
             self._give_up(heappop(self.dues)[1])
