Idle connections are closed by a valve that shuts in a crowd; in a storm no nack walks on

Cause: at full size every try of a new caller costs a handshake and a read, and both share the cores with the runs; a server that trims always drowns in them, one that never does idles behind a table of unused connections. The time unused is now shortened while cores are uncrowded, goes back in a crowd, and stands while few connections are open. A nack in a storm asks not to be taken elsewhere, a first try's too, from a quarter of further tries on.

--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -36,12 +36,13 @@
 PRESSED = 0.5  # of the usual target: the wait at which callers are told to hold back
 FLOOR_GAIN = 0.5  # a second and unit of pressure past the set point
 FLOOR_TOP = 0.9
-STORM = 0.5  # of the ops that arrive: this part being further tries, the trouble is everyone's
+STORM = 0.25  # of the ops that arrive: this part being further tries, the trouble is everyone's
 SPENT = 0.9  # of a type's patience: an op with less left is a further try
 PATIENCE_FADE = 0.9995  # an op: a longest time left that is not seen again is forgotten
 ALLOW_GAIN = 2.0  # a second and unit of pressure off the set point, as part of the allowance
 ALLOW_LEAST, ALLOW_TOP = 0.02, 0.5  # of the ops that fit in hand in time, for all callers together
-FEW_LINKS = 4  # connections a core that are kept as long as callers like
+LINK_GAIN = 1.0  # a second and unit of crowd off the set point, as part of the time they may be unused
+FEW_LINKS = 12  # connections a core that are kept as long as callers like
 LINK_STEP = 1 / 20  # of the idle span: the steps by which it is cut, and the least that is left of it
 
 
@@ -64,7 +65,7 @@
         self.target = min(self.due, self.reached + kind.target + kind.stretch * op.hint)
         self.cost, self.away, self.spread, self.scale = expect  # times on the cores and off, their error
         self.at, self.want, self.tries, self.keep_span = At.HELD, Want.STAY, 0, 0.0
-        self.answered = self.kept = self.queued = self.further = False
+        self.answered = self.kept = self.queued = False
         self.since, self.on, self.off, self.not_before = now, 0.0, 0.0, 0.0  # since: when it came to be `at`
 
 
@@ -207,7 +208,7 @@
 
     def __init__(self, signal: Signal, callers: int, idle: float, few: float) -> None:
         self.signal, self.callers, self.idle, self.few = signal, max(1, callers), idle, few
-        self.floor, self.part = 0.0, ALLOW_TOP
+        self.floor, self.part, self.kept = 0.0, ALLOW_TOP, 1.0
 
     def value(self, span: float, pressure: float, room: float) -> float | None:
         """Pressure 1 is where callers should begin to hold back; room is how many ops fit in hand in time."""
@@ -221,13 +222,13 @@
         return round(min(1.0, max(0.1, 1.5 - pressure / 2)), 2) if self.signal is Signal.WEIGHT else None
 
 
-    def links(self, now_open: float, pressure: float) -> float:
+    def links(self, span: float, now_open: float, crowd: float) -> float:
         """How long a connection may be unused. Each takes a part of the cores, and past a number that is told
-        nowhere new callers get none: with many callers of few ops each, most stand unused until then. Under
-        pressure that is welcome: a full table turns callers away for nothing, a try let in costs a read.
-        Harm: where they cost little, callers that come seldom shake hands anew for nothing."""
-        part = min(1.0, max(pressure, (self.few / max(1.0, now_open)) ** 2))
-        return self.idle * LINK_STEP * max(1, round(part / LINK_STEP))
+        nowhere new callers get none. In a crowd that is welcome: it costs nothing, but letting them in a
+        handshake and a read. Harm: where many connections cost little, some shake hands anew for nothing."""
+        self.kept *= 1 + span * LINK_GAIN * max(-1.0, min(1.0, crowd - 1))
+        self.kept = min(1.0, max(LINK_STEP, self.kept, (self.few / max(1.0, now_open)) ** 2))
+        return self.idle * LINK_STEP * round(self.kept / LINK_STEP)
 
 
 class Choice:
@@ -263,7 +264,8 @@
             job.keep_span = kind.key_window
         elif kind.repeat is Repeat.RETRYABLE and op.subject and not op.write and self.callers.fresh:
             job.keep_span = kind.timeout + self.callers.fresh
-        self.jobs[job.id], job.further = job, self._further(op)
+        self.jobs[job.id] = job
+        self._watch_tries(op)
         self.memory += job.size
         self.unread += NEWEST * (op.unread - self.unread)
         heappush(self.dues, (job.due, job.id))
@@ -280,9 +282,9 @@
 
     def ended(self, now: float, id: Any, outcome: Outcome) -> None:
         if job := self.jobs.get(id):
-            ran = job.at is At.ON_CORE and outcome in (Outcome.OK, Outcome.ERROR)
+            was = job.at
             self._move(now, job, At.GONE)
-            if ran:
+            if was is At.ON_CORE and outcome in (Outcome.OK, Outcome.ERROR):
                 self.pace.learn(job)
 
     def blocked(self, now: float, id: Any) -> None:
@@ -325,9 +327,9 @@
         seen = dict(zip(self.machine.gauges, gauges, strict=False))
         span = now - self.limit.changed
         self.limit.adapt(now, seen.get("busy"), seen.get("runnable", 0), self.on_core, bool(self.hold.lines))
-        # What is on the cores wants all there is: nothing is being read, so nothing waits unread. Without this
-        # a server that callers have left goes on looking full, and they stay away.
-        self.unread *= seen.get("runnable", self.on_core + 1) > self.on_core
+        # Where runs alone want the cores nothing is read: a server that callers left must not look full.
+        reading = seen.get("runnable", float("inf")) - self.on_core
+        self.unread *= reading > 0
         self.keys = {id: end for id, end in self.keys.items() if end >= now}
         while self.dues and self.dues[0][0] <= now + 1.5 * self.beat:
             self._give_up(heappop(self.dues)[1])
@@ -346,8 +348,9 @@
         room = self.limit.limit * self.usual_target * len(runs) / max(sum(runs), self.beat)
         pressure = queueing / (PRESSED * self.usual_target)
         value = self.voice.value(span, pressure, room)
-        told = [act.Trim(self.voice.links(seen.get("connections", 0), pressure))]
-        told += [] if value is None else [act.Say(value)]
+        crowd = max(pressure, reading / self.machine.cores)
+        told = [act.Trim(self.voice.links(span, seen.get("connections", 0), crowd))]
+        told += [act.Say(value)] * (value is not None)
         self.out += [tell for tell in told if tell not in self.told] + [act.Wake(0, self.beat)]
         self.told = told
 
@@ -379,8 +382,7 @@
         slow. An op whose call cannot pay goes on without it or is failed."""
         calls = self.calls
         calls.book(now)
-        slow, waiting = calls.slow(), calls.waiting
-        calls.waiting = []
+        slow, waiting, calls.waiting = calls.slow(), calls.waiting, []
         for job in sorted(waiting, key=lambda job: (-job.gain * slow, job.reached)):
             if job.at is not At.AT_CALL or job.answered:
                 continue
@@ -432,9 +434,9 @@
             self.out.append(act.Reuse(job.id))
             self._move(now, job, At.REUSING)
         elif want is Want.NACK:
-            # Turned away elsewhere before, and most ops are: others nack as well, and walking on would only
-            # feed the storm. Harm: a server that is still sound may be left out until the storm has passed.
-            self.out.append(act.Nack(job.id, job.further and self.storm > STORM, self._away(now)))
+            # Many come from elsewhere: others nack as well, and walking on only feeds the storm.
+            # Harm: a server that is still sound may be left out until the storm has passed.
+            self.out.append(act.Nack(job.id, self.storm > STORM, self._away(now)))
             self._move(now, job, At.GONE)
         elif want >= Want.FAIL:
             if want is Want.STOP:
@@ -454,8 +456,7 @@
         return (min(ahead, own) + sum(running) / 2) / limit
 
     def _queueing(self, now: float) -> float:
-        """What an op spends waiting here, read or not. A server that reads too late to run anything holds
-        nothing: without the time unread it would look idle and go on inviting ops that it can only nack."""
+        """What an op waits here, read or not: a server that reads too late holds nothing, yet is not idle."""
         return self.unread + self._wait(now)
 
     def _misses(self, now: float, job: Job) -> bool:
@@ -479,14 +480,12 @@
             return job.away
         return 0.0 if job.kind.poorer_share else max(job.away, self.calls.wait(len(self.calls.waiting)))
 
-    def _further(self, op: facts.Op) -> bool:
-        """Whether it is a further try: marked, or a part of its time is spent; learns how many are."""
+    def _watch_tries(self, op: facts.Op) -> None:
+        """Learn which part of the ops are further tries: marked, or a part of their time is spent."""
         time, longest = op.left + op.unread, self.patience[op.type]
+        self.patience[op.type] = max(time, longest * PATIENCE_FADE) if op.left else longest
         further = op.further or (op.left > 0 and time < SPENT * longest)
-        if op.left:
-            self.patience[op.type] = max(time, longest * PATIENCE_FADE)
         self.storm += NEWEST / 2 * (further - self.storm)
-        return further
 
     def _away(self, now: float) -> float:
         """How long a nacked caller should stay away: until the wait is back at the set point."""
@@ -520,7 +519,6 @@
         """Answered, or nobody waits: what runs keeps its core and memory until its run ends."""
         job.answered = True
         if job.at is At.CALLING:
-            self.calls.lingering.append(now + self.calls.linger_span)
             self._move(now, job, At.AT_CALL)
         elif job.at in (At.HELD, At.REUSING):
             self._move(now, job, At.GONE)
@@ -534,6 +532,8 @@
             job.on += now - job.since
         elif was in (At.AT_CALL, At.CALLING):
             job.off += now - job.since
+        if was is At.CALLING and (at is At.GONE or job.answered):
+            self.calls.lingering.append(now + self.calls.linger_span)
         for where, by in ((was, -1), (at, 1)):
             if where is At.CALLING:
                 self.calls.out += by
@@ -544,8 +544,6 @@
             del self.running[job.key]
         job.at, job.since = at, now
         if at is At.GONE:
-            if was is At.CALLING:
-                self.calls.lingering.append(now + self.calls.linger_span)
             if was is At.HELD:  # never ran: the key of one that is gone would fail all its repeats
                 self.keys.pop(job.id, None)
                 if job.kept:
