--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -88,7 +88,7 @@
         if mean is None:
             return [0.0, 0.0, 0.0, 1.0]
         scale = op.hint / mean[3] if op.hint and mean[3] else 1.0
-        return [mean[0] * scale, mean[1] * scale, mean[2] * scale, scale]
+        return [mean[0] * scale, mean[1], mean[2] * scale, scale]
 
 
 class RunLimit:
