Hints are not doubted, and time off the cores is not scaled by them

Cause: two errors that partly cancelled. Time off the cores was scaled by the hint though a call takes the same for any op; and large hints were doubted where nothing waits, though such runs take 1.2 times what is predicted.

--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -26,7 +26,6 @@
 GROW, SHRINK = 2.0, 0.5  # cores a core and second by which the run limit grows and backs off
 IDLE_BUSY = 0.9  # cores idle below this value of the gauge
 NEWEST = 0.1  # weight of the newest value in recent run times and times unread
-HINT_DOUBT = 0.25  # power of its scale by which a hint is doubted where nothing waits
 SURE_MISS = 0.5  # a held op is stale when this part of its expected run no longer fits
 CALL_FILL = 0.85  # of `fair_calls`: the most calls that are out, lingering ones included
 SLOW_CALLS = 2.5  # calls are slow past this multiple of their usual time
@@ -464,9 +463,7 @@
         # A keyed op that ends too late cannot be tried again here: its repeats get the failed run's answer.
         wait = self._wait(now, *job.line)
         margin = min(wait, job.spread) if job.kind.repeat is Repeat.KEYED else 0.0
-        # Large hints are mostly too large; under pressure no op gets the benefit of that doubt.
-        run = (job.cost + self._off_cores(job)) / (1.0 if wait else job.scale**HINT_DOUBT)
-        return job.cost > 0 and now + wait + margin + run > job.target
+        return job.cost > 0 and now + wait + margin + job.cost + self._off_cores(job) > job.target
 
     def _stale(self, now: float, job: Job) -> bool:
         """Whether a held op has passed its target, or surely will; a keyed op must be likely to make it."""
