--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -283,7 +283,8 @@
         if job := self.jobs.get(id):
             was = job.at
             self._move(now, job, At.GONE)
-            if was is At.ON_CORE and outcome in (Outcome.OK, Outcome.ERROR):
+            # A stopped run would have taken longer still: left out, long runs would look shorter than they are.
+            if was is At.ON_CORE and (outcome in (Outcome.OK, Outcome.ERROR) or job.on > job.cost):
                 self.pace.learn(job)
 
     def blocked(self, now: float, id: Any) -> None:
