--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -283,8 +283,7 @@
         if job := self.jobs.get(id):
             was = job.at
             self._move(now, job, At.GONE)
-            # A stopped run would have taken longer still: left out, long runs would look shorter than they are.
-            if was is At.ON_CORE and (outcome in (Outcome.OK, Outcome.ERROR) or job.on > job.cost):
+            if was is At.ON_CORE and outcome in (Outcome.OK, Outcome.ERROR):
                 self.pace.learn(job)
 
     def blocked(self, now: float, id: Any) -> None:
@@ -461,9 +460,11 @@
 
     def _misses(self, now: float, job: Job) -> bool:
         """Whether it is predicted to miss its target; without history nothing is."""
-        # A keyed op that ends too late cannot be tried again here: its repeats get the failed run's answer.
+        # An op that has to wait needs a margin for the error in its run time: turned away now it may still be
+        # in time elsewhere, and a keyed one that ends too late fails all its repeats here. Harm: ops are lost
+        # that would have been in time, where others are as busy and cores are left over.
         wait = self._wait(now, *job.line)
-        margin = min(wait, job.spread) if job.kind.repeat is Repeat.KEYED else 0.0
+        margin = min(wait, job.spread)
         return job.cost > 0 and now + wait + margin + job.cost + self._off_cores(job) > job.target
 
     def _stale(self, now: float, job: Job) -> bool:
