A held op is stale once its expected run no longer fits

Cause: beside keyed ops, a held op was started while half of its expected run still fitted; most such runs miss. One rule for all now, and a constant less.

--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -26,7 +26,6 @@
 GROW, SHRINK = 2.0, 0.5  # cores a core and second by which the run limit grows and backs off
 IDLE_BUSY = 0.9  # cores idle below this value of the gauge
 NEWEST = 0.1  # weight of the newest value in recent run times and times unread
-SURE_MISS = 0.5  # a held op is stale when this part of its expected run no longer fits
 CALL_FILL = 0.85  # of `fair_calls`: the most calls that are out, lingering ones included
 SLOW_CALLS = 2.5  # calls are slow past this multiple of their usual time
 CROWDED_CALLS = 5  # past this multiple of it fewer calls are sent
@@ -468,9 +467,8 @@
         return job.cost > 0 and now + wait + margin + job.cost + self._off_cores(job) > job.target
 
     def _stale(self, now: float, job: Job) -> bool:
-        """Whether a held op has passed its target, or surely will; a keyed op must be likely to make it."""
-        keyed = job.kind.repeat is Repeat.KEYED
-        return now + (job.cost + self._off_cores(job) if keyed else SURE_MISS * job.cost) > job.target
+        """Whether a held op has passed its target, or is likely to."""
+        return now + job.cost + self._off_cores(job) > job.target
 
     def _off_cores(self, job: Job) -> float:
         """Expected time in calls: the usual one, or while calls are slow that of their queue as it stands. A
