--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -265,7 +265,7 @@
         self.jobs[job.id] = job
         self._watch_tries(op)
         self.memory += job.size
-        self.unread += NEWEST * (op.unread - self.unread)
+        self.unread += 2 * NEWEST * (op.unread - self.unread)  # ops are read in turn: the newest tells most
         heappush(self.dues, (job.due, job.id))
         first = self.jobs.get(op.repeats)  # where both came in this batch, it may be nacked without a run
         closing = job.reached > self.grace_until or now > self.leave_at - job.cost - 2 * self.beat
