--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -346,7 +346,7 @@
         room = self.limit.limit * self.usual_target * len(runs) / max(sum(runs), self.beat)
         pressure = queueing / (PRESSED * self.usual_target)
         value = self.voice.value(span, pressure, room)
-        crowd = max(pressure, reading / self.machine.cores)
+        crowd = max(pressure, reading / self.machine.cores / 2)
         told = [act.Trim(self.voice.links(span, seen.get("connections", 0), crowd))]
         told += [act.Say(value)] * (value is not None)
         self.out += [tell for tell in told if tell not in self.told] + [act.Wake(0, self.beat)]
