--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -40,6 +40,7 @@
 ALLOW_GAIN = 2.0  # a second and unit of pressure off the set point, as part of the allowance
 ALLOW_LEAST, ALLOW_TOP = 0.02, 0.5  # of the ops that fit in hand in time, for all callers together
 LINK_GAIN = 1.0  # a second and unit of crowd off the set point, as part of the time they may be unused
+LINK_WAIT, LINK_READS = 0.75, 2  # the crowd's set point: a queue, of the target; reads and handshakes a core
 FEW_LINKS = 12  # connections a core that are kept as long as callers like
 LINK_STEP = 1 / 20  # of the idle span: the steps by which it is cut, and the least that is left of it
 
@@ -344,9 +345,8 @@
         self.hold.pressed = queueing > PRESSED * self.least_target
         runs = [mean[0] for mean in self.pace.runs if mean]
         room = self.limit.limit * self.usual_target * len(runs) / max(sum(runs), self.beat)
-        pressure = queueing / (PRESSED * self.usual_target)
-        value = self.voice.value(span, pressure, room)
-        crowd = max(pressure, reading / self.machine.cores / 2)
+        value = self.voice.value(span, queueing / (PRESSED * self.usual_target), room)
+        crowd = max(queueing / (LINK_WAIT * self.usual_target), reading / (LINK_READS * self.machine.cores))
         told = [act.Trim(self.voice.links(span, seen.get("connections", 0), crowd))]
         told += [act.Say(value)] * (value is not None)
         self.out += [tell for tell in told if tell not in self.told] + [act.Wake(0, self.beat)]
