--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from tests.server import Server, actions, facts
+from tests.server import KINDS, Server, actions, facts
 
 Act, Outcome = actions, facts.Outcome
 
@@ -84,6 +84,20 @@
                 server.settle()
                 self.assertEqual(server.ids(Act.Nack)[-2:], nacked)
 
+    def test_no_line_is_longer_than_equally_important_ops_stand(self) -> None:
+        """Type 0 could wait four seconds; type 1 matters as much and has a target of two."""
+        for importance, nacked in [(1.0, [99]), (2.0, [])]:
+            with self.subTest(importance=importance):
+                long = KINDS[0]._replace(target=5.0)
+                server = Server(op_types=(long, KINDS[0]._replace(importance=importance)))
+                server.learned(0.5, 0)
+                server.learned(0.5, 1)
+                server.beat()
+                for id in [*range(16), 99]:
+                    server.op(id)
+                    server.settle()
+                self.assertEqual(server.ids(Act.Nack), nacked)
+
     def test_cores_on_which_nothing_ends_look_full(self) -> None:
         server = Server()
         server.learned(0.1)
--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -29,8 +29,7 @@
 CALL_FILL = 0.85  # of `fair_calls`: the most calls that are out, lingering ones included
 SLOW_CALLS = 2.5  # calls are slow past this multiple of their usual time
 CROWDED_CALLS = 5  # past this multiple of it fewer calls are sent
-CALL_TRIES = 4  # of one call, where repeating it is allowed
-BACKOFF = 0.1  # of the target: the first wait before a call is repeated
+CALL_TRIES, BACKOFF = 4, 0.1  # of one call, where it may be repeated; the first wait before, of the target
 PRESSED = 0.5  # of the usual target: the wait at which callers are told to hold back
 FLOOR_GAIN = 0.5  # a second and unit of pressure past the set point
 FLOOR_TOP = 0.9
@@ -39,7 +38,6 @@
 PATIENCE_FADE = 0.9995  # an op: a longest time left that is not seen again is forgotten
 ALLOW_GAIN = 2.0  # a second and unit of pressure off the set point, as part of the allowance
 ALLOW_LEAST, ALLOW_TOP = 0.02, 0.5  # of the ops that fit in hand in time, for all callers together
-LINK_GAIN = 1.0  # a second and unit of crowd off the set point, as part of the time they may be unused
 LINK_WAIT, LINK_READS = 0.75, 2  # the crowd's set point: a queue, of the target; reads and handshakes a core
 FEW_LINKS = 12  # connections a core that are kept as long as callers like
 LINK_STEP = 1 / 20  # of the idle span: the steps by which it is cut, and the least that is left of it
@@ -225,7 +223,7 @@
         """How long a connection may be unused. Each takes a part of the cores, and past a number that is told
         nowhere new callers get none. In a crowd that is welcome: it costs nothing, but letting them in a
         handshake and a read. Harm: where many connections cost little, some shake hands anew for nothing."""
-        self.kept *= 1 + span * LINK_GAIN * max(-1.0, min(1.0, crowd - 1))
+        self.kept *= 1 + span * max(-1.0, min(1.0, crowd - 1))
         self.kept = min(1.0, max(LINK_STEP, self.kept, (self.few / max(1.0, now_open)) ** 2))
         return self.idle * LINK_STEP * round(self.kept / LINK_STEP)
 
@@ -251,6 +249,7 @@
         self.changed: list[Job] = []  # ops whose wanted state moved; emptied by every settle
         self.running: dict[int, int] = {}  # ops on the cores by key; a key goes at zero
         self.on_core, self.memory, self.unread = 0, 0.0, 0.0
+        self.stands: dict[float, float] = {}  # by importance, the wait that its type of least patience stands
         self.storm, self.patience = 0.0, [0.0] * len(op_types)
         self.leave_at = self.grace_until = float("inf")
         self.out: list[act.Action] = [act.Health(True, True), act.Wake(0, self.beat)]
@@ -334,10 +333,13 @@
             self._give_up(heappop(self.dues)[1])
         closing = now >= self.leave_at - 2.5 * self.beat  # all that was read is answered before the stop
         for job in list(self.jobs.values()):
-            # A run past its target earns nothing; while others are held, they wait for its core.
-            spent = now > job.target and not job.kind.late_share and self.hold.lines and self._stops(job)
-            if closing or spent or (job.queued and self._stale(now, job)):
+            if closing or (job.queued and self._stale(now, job)):
                 self._give_up(job.id)
+        self.stands = {}
+        for kind, mean, longest in zip(self.kinds, self.pace.runs, self.patience, strict=True):
+            if mean:
+                wait = min(kind.target, longest or kind.target) - sum(mean[:3])
+                self.stands[kind.importance] = min(wait, self.stands.get(kind.importance, wait))
         self.calls.watch([now - job.since for job in self.jobs.values() if job.at is At.CALLING])
         # Where some must miss, oldest first spends the cores on whoever asked first, and short targets are
         # never met behind long ones. Harm: what matters least waits longest, and is nacked for it.
@@ -464,7 +466,9 @@
         # that would have been in time, where others are as busy and cores are left over.
         wait = self._wait(now, *job.line)
         margin = min(wait, job.spread)
-        return job.cost > 0 and now + wait + margin + job.cost + self._off_cores(job) > job.target
+        # Else types with the longest targets fill the line, and others as important never fit.
+        long = wait > self.stands.get(job.kind.importance, wait)
+        return job.cost > 0 and (long or now + wait + margin + job.cost + self._off_cores(job) > job.target)
 
     def _stale(self, now: float, job: Job) -> bool:
         """Whether a held op has passed its target, or is likely to."""
@@ -486,9 +490,8 @@
 
     def _away(self, now: float) -> float:
         """How long a nacked caller should stay away: until the wait is back at the set point."""
-        leaving = self.leave_at < float("inf")
-        over = self.callers.max_wait if leaving else self._queueing(now) - PRESSED * self.usual_target
-        return max(0.0, min(self.callers.max_wait, over))
+        over = self._queueing(now) - PRESSED * self.usual_target
+        return max(0.0, min(self.callers.max_wait, over if self.leave_at == float("inf") else float("inf")))
 
     def _wish(self, job: Job, want: Want) -> None:
         """Set what an op should do next; a final answer that is already wanted stands."""
