Without marks a storm is told from misses after a wait, not from a short time left

A tap showed why: first tries come with a fixed time left by their router's habit (1.22 or 2.50 s), last tries with all that is left (5.7 s), so against the longest nearly every op looked further. Now a storm is told from marks, or without them from ops that miss after more than a beat of waiting, here or unread.

--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -33,9 +33,7 @@
 PRESSED = 0.5  # of the usual target: the wait at which callers are told to hold back
 FLOOR_GAIN = 0.5  # a second and unit of pressure past the set point
 FLOOR_TOP = 0.9
-STORM = 0.25  # of the ops that arrive: this part being further tries, the trouble is everyone's
-SPENT = 0.9  # of a type's patience: an op with less left is a further try
-PATIENCE_FADE = 0.9995  # an op: a longest time left that is not seen again is forgotten
+STORM = 0.4  # of the ops that arrive: this part being strays, the trouble is everyone's
 ALLOW_GAIN = 2.0  # a second and unit of pressure off the set point, as part of the allowance
 ALLOW_LEAST, ALLOW_TOP = 0.02, 0.5  # of the ops that fit in hand in time, for all callers together
 LINK_WAIT, LINK_READS = 0.75, 2  # the crowd's set point: a queue, of the target; reads and handshakes a core
@@ -250,7 +248,7 @@
         self.running: dict[int, int] = {}  # ops on the cores by key; a key goes at zero
         self.on_core, self.memory, self.unread = 0, 0.0, 0.0
         self.stands: dict[float, float] = {}  # by importance, the wait that its type of least patience stands
-        self.storm, self.patience = 0.0, [0.0] * len(op_types)
+        self.storm, self.patience = 0.0, targets  # patience: the usual time from arrival to target
         self.leave_at = self.grace_until = float("inf")
         self.out: list[act.Action] = [act.Health(True, True), act.Wake(0, self.beat)]
         self.told: list[act.Action] = [act.Trim(callers.idle)]
@@ -263,7 +261,7 @@
         elif kind.repeat is Repeat.RETRYABLE and op.subject and not op.write and self.callers.fresh:
             job.keep_span = kind.timeout + self.callers.fresh
         self.jobs[job.id] = job
-        self._watch_tries(op)
+        self.patience[op.type] += NEWEST * (job.target - job.reached - self.patience[op.type])
         self.memory += job.size
         self.unread += 2 * NEWEST * (op.unread - self.unread)  # ops are read in turn: the newest tells most
         heappush(self.dues, (job.due, job.id))
@@ -271,7 +269,13 @@
         closing = job.reached > self.grace_until or now > self.leave_at - job.cost - 2 * self.beat
         if op.repeats is not None and job.keep_span and not (first and first.want is Want.NACK):
             return self._wish(job, Want.FAIL if now > self.leave_at - 2 * self.beat else Want.REUSE)
-        if closing or self._misses(now, job):
+        wait = self._wait(now, *job.line)
+        misses = closing or self._misses(now, job, wait)
+        # Where further tries are not marked, what misses for a queue has to tell how others fare; what is too
+        # long for this machine though nothing waits may be taken to a faster one.
+        stray = op.further if self.callers.marks_further else misses and wait + op.unread > self.beat
+        self.storm += NEWEST / 2 * (stray - self.storm)
+        if misses:
             return self._wish(job, Want.NACK)
         self.hold.add(job)
         if job.keep_span:
@@ -336,9 +340,9 @@
             if closing or (job.queued and self._stale(now, job)):
                 self._give_up(job.id)
         self.stands = {}
-        for kind, mean, longest in zip(self.kinds, self.pace.runs, self.patience, strict=True):
+        for kind, mean, patience in zip(self.kinds, self.pace.runs, self.patience, strict=True):
             if mean:
-                wait = min(kind.target, longest or kind.target) - sum(mean[:3])
+                wait = patience - sum(mean[:3])
                 self.stands[kind.importance] = min(wait, self.stands.get(kind.importance, wait))
         self.calls.watch([now - job.since for job in self.jobs.values() if job.at is At.CALLING])
         # Where some must miss, oldest first spends the cores on whoever asked first, and short targets are
@@ -459,12 +463,11 @@
         """What an op waits here, read or not: a server that reads too late holds nothing, yet is not idle."""
         return self.unread + self._wait(now)
 
-    def _misses(self, now: float, job: Job) -> bool:
+    def _misses(self, now: float, job: Job, wait: float) -> bool:
         """Whether it is predicted to miss its target; without history nothing is."""
         # An op that has to wait needs a margin for the error in its run time: turned away now it may still be
         # in time elsewhere, and a keyed one that ends too late fails all its repeats here. Harm: ops are lost
         # that would have been in time, where others are as busy and cores are left over.
-        wait = self._wait(now, *job.line)
         margin = min(wait, job.spread)
         # Else types with the longest targets fill the line, and others as important never fit.
         long = wait > self.stands.get(job.kind.importance, wait)
@@ -481,13 +484,6 @@
             return job.away
         return 0.0 if job.kind.poorer_share else max(job.away, self.calls.wait(len(self.calls.waiting)))
 
-    def _watch_tries(self, op: facts.Op) -> None:
-        """Learn which part of the ops are further tries: marked, or a part of their time is spent."""
-        time, longest = op.left + op.unread, self.patience[op.type]
-        self.patience[op.type] = max(time, longest * PATIENCE_FADE) if op.left else longest
-        further = op.further or (op.left > 0 and time < SPENT * longest)
-        self.storm += NEWEST / 2 * (further - self.storm)
-
     def _away(self, now: float) -> float:
         """How long a nacked caller should stay away: until the wait is back at the set point."""
         over = self._queueing(now) - PRESSED * self.usual_target
