--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -77,6 +77,12 @@
         old = self.runs[job.op.type] or new
         self.runs[job.op.type] = [a + NEWEST * (b - a) for a, b in zip(old, new, strict=True)]
 
+    def fade(self, kind: int) -> None:
+        """An op refused while nothing runs: times from a worse moment would be refused by for ever. Harm: on a
+        slow idle machine, now and then an op is run that misses."""
+        if mean := self.runs[kind]:
+            self.runs[kind] = [(1 - NEWEST / 2) * time for time in mean[:3]] + mean[3:]
+
     def expect(self, op: facts.Op) -> list[float]:
         """Expected time on a core and off it, its mean error, the hint's scale; zeros without history."""
         mean = self.runs[op.type]
@@ -276,6 +282,8 @@
         stray = op.further if self.callers.marks_further else misses and wait + op.unread > self.beat
         self.storm += NEWEST / 2 * (stray - self.storm)
         if misses:
+            if not self.on_core:
+                self.pace.fade(op.type)
             return self._wish(job, Want.NACK)
         self.hold.add(job)
         if job.keep_span:
@@ -486,8 +494,9 @@
 
     def _away(self, now: float) -> float:
         """How long a nacked caller should stay away: until the wait is back at the set point."""
-        over = self._queueing(now) - PRESSED * self.usual_target
-        return max(0.0, min(self.callers.max_wait, over if self.leave_at == float("inf") else float("inf")))
+        if self.storm > STORM or self.leave_at < float("inf"):
+            return self.callers.max_wait
+        return max(0.0, min(self.callers.max_wait, self._queueing(now) - PRESSED * self.usual_target))
 
     def _wish(self, job: Job, want: Want) -> None:
         """Set what an op should do next; a final answer that is already wanted stands."""
