--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -120,6 +120,17 @@
             self.assertEqual(server.ids(Act.Nack), nacked)
             server.yoke.gone(server.now, 9)
 
+    def test_what_is_refused_while_nothing_runs_is_tried_in_the_end(self) -> None:
+        """Run times learned in a bad moment must not refuse everything for ever."""
+        server = Server()
+        server.learned(3.0)
+        for id in range(40):
+            server.op(id)
+            server.settle()
+            if server.ids(Act.Run):
+                break
+        self.assertIn(id, range(5, 15))
+
     def test_stale_held_ops_are_answered_at_once(self) -> None:
         server = Server()
         for id in range(5):
--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -55,8 +55,7 @@
         self.gain = kind.importance * (1 - kind.poorer_share)  # what a call of it is worth
         self.reached = now - op.unread
         self.due = now + op.left if op.left else max(now, self.reached + kind.timeout)
-        # An answer after the caller gave this try up is lost like one after the target, and the try that
-        # follows stands in the line as well: without this, a short patience feeds a storm of retries.
+        # An answer after the caller's patience is lost as well, and its next try stands in the line by then.
         self.target = min(self.due, self.reached + kind.target + kind.stretch * op.hint)
         self.cost, self.away, self.spread, self.scale = expect  # times on the cores and off, their error
         self.at, self.want, self.tries, self.keep_span = At.HELD, Want.STAY, 0, 0.0
@@ -78,8 +77,7 @@
         self.runs[job.op.type] = [a + NEWEST * (b - a) for a, b in zip(old, new, strict=True)]
 
     def fade(self, kind: int) -> None:
-        """An op refused while nothing runs: times from a worse moment would be refused by for ever. Harm: on a
-        slow idle machine, now and then an op is run that misses."""
+        """Else times from a bad moment refuse all for ever. Harm: now and then an op runs that misses."""
         if mean := self.runs[kind]:
             self.runs[kind] = [(1 - NEWEST / 2) * time for time in mean[:3]] + mean[3:]
 
@@ -281,9 +279,9 @@
         # long for this machine though nothing waits may be taken to a faster one.
         stray = op.further if self.callers.marks_further else misses and wait + op.unread > self.beat
         self.storm += NEWEST / 2 * (stray - self.storm)
+        if misses and not self.on_core:
+            self.pace.fade(op.type)
         if misses:
-            if not self.on_core:
-                self.pace.fade(op.type)
             return self._wish(job, Want.NACK)
         self.hold.add(job)
         if job.keep_span:
@@ -446,8 +444,7 @@
             self.out.append(act.Reuse(job.id))
             self._move(now, job, At.REUSING)
         elif want is Want.NACK:
-            # Many come from elsewhere: others nack as well, and walking on only feeds the storm.
-            # Harm: a server that is still sound may be left out until the storm has passed.
+            # In a storm others nack as well: walking on feeds it. Harm: a server still sound may be left out.
             self.out.append(act.Nack(job.id, self.storm > STORM, self._away(now)))
             self._move(now, job, At.GONE)
         elif want >= Want.FAIL:
@@ -473,9 +470,8 @@
 
     def _misses(self, now: float, job: Job, wait: float) -> bool:
         """Whether it is predicted to miss its target; without history nothing is."""
-        # An op that has to wait needs a margin for the error in its run time: turned away now it may still be
-        # in time elsewhere, and a keyed one that ends too late fails all its repeats here. Harm: ops are lost
-        # that would have been in time, where others are as busy and cores are left over.
+        # What has to wait needs a margin for the error in its run time: turned away now it may be in time
+        # elsewhere, and a keyed op too late fails its repeats. Harm: some that would be in time are lost.
         margin = min(wait, job.spread)
         # Else types with the longest targets fill the line, and others as important never fit.
         long = wait > self.stands.get(job.kind.importance, wait)
@@ -494,9 +490,9 @@
 
     def _away(self, now: float) -> float:
         """How long a nacked caller should stay away: until the wait is back at the set point."""
-        if self.storm > STORM or self.leave_at < float("inf"):
-            return self.callers.max_wait
-        return max(0.0, min(self.callers.max_wait, self._queueing(now) - PRESSED * self.usual_target))
+        leaving = self.leave_at < float("inf")
+        over = self.callers.max_wait if leaving else self._queueing(now) - PRESSED * self.usual_target
+        return max(0.0, min(self.callers.max_wait, over))
 
     def _wish(self, job: Job, want: Want) -> None:
         """Set what an op should do next; a final answer that is already wanted stands."""
@@ -515,8 +511,7 @@
             self._wish(job, Want.NACK if never_ran else Want.STOP if self._stops(job) else Want.FAIL)
 
     def _stops(self, job: Job) -> bool:
-        """Whether its run can and should be stopped once nobody waits: it would hold a core for nobody.
-        An op with an effect runs on, for its repeats are answered by its end."""
+        """Whether its run can be stopped for nobody; one with an effect runs on: its end answers repeats."""
         runs = job.at is At.ON_CORE and self.machine.halt is not facts.Halt.NOTHING
         return runs and job.kind.repeat is Repeat.RETRYABLE
 
