--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -68,6 +68,8 @@
             with self.subTest(name):
                 server = Server(callers={"marks_further": marks})
                 server.learned(0.5)
+                server.op(98)
+                server.settle()
                 for id in range(60):
                     server.op(id, **given)
                 server.op(99, left=0.2)
