--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -185,6 +185,36 @@
             answers += server.ids(Act.Nack) + server.ids(Act.Fail)
         self.assertEqual(sorted(answers), list(range(7)))
 
+    def test_extreme_settings_break_no_rule(self) -> None:
+        """Each op gets one final answer in time, and calls stay under this server's part."""
+        shared = facts.Dependency(facts.Below.SHARED, 0.05, 5.0, 0.2)
+        gauges = ("busy", "runnable", "memory", "connections")
+        cases = {
+            "one core, no callers told": {"machine": {"cores": 1, "gauges": gauges}, "callers": {"count": 0}},
+            "hundreds of callers, no idle span": {"callers": {"count": 900, "idle": 0.0}},
+            "allowance, hundreds": {"callers": {"count": 900, "signal": facts.Signal.ALLOWANCE}},
+            "weight, no callers": {"callers": {"count": 0, "signal": facts.Signal.WEIGHT}},
+            "a small part of the calls": {"dependency": shared},
+            "none of the calls": {"dependency": shared._replace(fair_calls=0.0)},
+        }
+        for name, changed in cases.items():
+            with self.subTest(name):
+                server, answered, called = Server(**changed), [], 0
+                for id in range(30):
+                    server.op(id, type=id % 4, caller=id, left=1.0)
+                for _ in range(18):
+                    server.now += 0.06
+                    server.yoke.woke(server.now, 0, (0.5, 1, 0.1, 500))
+                    server.settle()
+                    answered += server.ids(Act.Nack) + server.ids(Act.Fail)
+                    called += len(server.ids(Act.Call))
+                    for id in server.ids(Act.Run):
+                        server.yoke.blocked(server.now, id)
+                    called += sum(isinstance(did, Act.Call) for did in server.settle())
+                    answered += server.ids(Act.Nack) + server.ids(Act.Fail)
+                self.assertEqual(sorted(answered), list(range(30)))
+                self.assertLessEqual(called, 1 if "calls" in name else 30)
+
     def test_repeats(self) -> None:
         server = Server()
         server.op(1, type=1)
