--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -263,11 +263,11 @@
         for spread, ahead, nacked in [(0.0, 10, []), (0.8, 10, [99]), (9.0, 0, [])]:
             with self.subTest(spread=spread, ahead=ahead):
                 server = Server()
-                server.yoke.pace.runs[0] = [0.5, 0.0, 0.0, 0.0]
+                server.yoke.pace.runs[0] = [0.5, 0.0, 0.0, 0.0, 1.0]
                 for id in range(ahead):
                     server.op(id)
                 server.settle()
-                server.yoke.pace.runs[0] = [0.5, 0.0, spread, 0.0]
+                server.yoke.pace.runs[0] = [0.5, 0.0, spread, 0.0, 1.0]
                 server.op(99)
                 server.settle()
                 self.assertEqual(server.ids(Act.Nack), nacked)
@@ -386,6 +386,16 @@
                 server.settle()
                 self.assertEqual(server.ids(Act.Nack), nacked)
 
+    def test_while_calls_are_slow_an_op_is_judged_by_as_many_waits_as_it_makes_calls(self) -> None:
+        for legs, nacked in [(1.0, []), (4.0, [9])]:
+            with self.subTest(legs=legs):
+                server = Server()
+                server.yoke.pace.runs[0] = [0.1, 0.1, 0.0, 0.0, legs]
+                server.yoke.calls.usual, server.yoke.calls.recent = 0.1, 0.6
+                server.op(9)
+                server.settle()
+                self.assertEqual(server.ids(Act.Nack), nacked)
+
     def test_crowded_calls_narrow_the_window_and_quick_ones_open_it(self) -> None:
         calls = Server(dependency=facts.Dependency(facts.Below.SHARED, 10.0, 5.0, 0.2)).yoke.calls
         for took, window in [(0.02, 8.5), (0.2, 1.0), (0.02, 8.5)]:
--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -57,8 +57,8 @@
         self.due = now + op.left if op.left else max(now, self.reached + kind.timeout)
         # An answer after the caller's patience is lost as well, and its next try stands in the line by then.
         self.target = min(self.due, self.reached + kind.target + kind.stretch * op.hint)
-        self.cost, self.away, self.spread, self.scale = expect  # times on the cores and off, their error
-        self.at, self.want, self.tries, self.keep_span = At.HELD, Want.STAY, 0, 0.0
+        self.cost, self.away, self.spread, self.legs = expect  # times on the cores and off, error, calls
+        self.at, self.want, self.tries, self.asked, self.keep_span = At.HELD, Want.STAY, 0, 0, 0.0
         self.answered = self.kept = self.queued = False
         self.since, self.on, self.off, self.not_before = now, 0.0, 0.0, 0.0  # since: when it came to be `at`
 
@@ -68,11 +68,11 @@
     Means of times over means of hints: a mean of ratios is ruled by the smallest ops."""
 
     def __init__(self, kinds: int) -> None:
-        self.runs: list[list[float] | None] = [None] * kinds  # on the cores, off them, spread, hint
+        self.runs: list[list[float] | None] = [None] * kinds  # on the cores, off them, spread, hint, calls
 
     def learn(self, job: Job) -> None:
         spread = abs(job.on + job.off - job.cost - job.away) if job.cost else 0.0
-        new = [job.on, job.off, spread, job.op.hint]
+        new = [job.on, job.off, spread, job.op.hint, job.asked]
         old = self.runs[job.op.type] or new
         self.runs[job.op.type] = [a + NEWEST * (b - a) for a, b in zip(old, new, strict=True)]
 
@@ -82,12 +82,12 @@
             self.runs[kind] = [(1 - NEWEST / 2) * time for time in mean[:3]] + mean[3:]
 
     def expect(self, op: facts.Op) -> list[float]:
-        """Expected time on a core and off it, its mean error, the hint's scale; zeros without history."""
+        """Expected time on a core and off it, its mean error, calls that it makes; zeros without history."""
         mean = self.runs[op.type]
         if mean is None:
-            return [0.0, 0.0, 0.0, 1.0]
+            return [0.0, 0.0, 0.0, 0.0]
         scale = op.hint / mean[3] if op.hint and mean[3] else 1.0
-        return [mean[0] * scale, mean[1], mean[2] * scale, scale]
+        return [mean[0] * scale, mean[1], mean[2] * scale, mean[4]]
 
 
 class RunLimit:
@@ -298,7 +298,7 @@
     def blocked(self, now: float, id: Any) -> None:
         if job := self.jobs.get(id):
             self._move(now, job, At.AT_CALL)
-            job.tries, job.not_before = 0, 0.0
+            job.tries, job.not_before, job.asked = 0, 0.0, job.asked + 1
             self.calls.waiting.append(job)
 
     def called(self, now: float, id: Any, outcome: Outcome, took: float) -> None:
@@ -473,8 +473,7 @@
         # What has to wait needs a margin for the error in its run time: turned away now it may be in time
         # elsewhere, and a keyed op too late fails its repeats. Harm: some that would be in time are lost.
         margin = min(wait, job.spread)
-        # Else types with the longest targets fill the line, and others as important never fit.
-        long = wait > self.stands.get(job.kind.importance, wait)
+        long = wait > self.stands.get(job.kind.importance, wait)  # else the longest targets fill the line
         return job.cost > 0 and (long or now + wait + margin + job.cost + self._off_cores(job) > job.target)
 
     def _stale(self, now: float, job: Job) -> bool:
@@ -486,7 +485,8 @@
         run that fails at its call is lost with all its repeats. What can go on without it loses nothing."""
         if not job.kind.calls or not self.calls.slow():
             return job.away
-        return 0.0 if job.kind.poorer_share else max(job.away, self.calls.wait(len(self.calls.waiting)))
+        wait = max(1.0, job.legs) * self.calls.wait(len(self.calls.waiting))
+        return 0.0 if job.kind.poorer_share else max(job.away, wait)
 
     def _away(self, now: float) -> float:
         """How long a nacked caller should stay away: until the wait is back at the set point."""
