--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -35,7 +35,7 @@
 FLOOR_TOP = 0.9
 STORM = 0.4  # of the ops that arrive: this part being strays, the trouble is everyone's
 ALLOW_GAIN = 2.0  # a second and unit of pressure off the set point, as part of the allowance
-ALLOW_LEAST, ALLOW_TOP = 0.02, 0.5  # of the ops that fit in hand in time, for all callers together
+ALLOW_LEAST, ALLOW_TOP = 0.02, 1.0  # of the ops that fit in hand in time, for all callers together
 LINK_WAIT, LINK_READS = 0.75, 2  # the crowd's set point: a queue, of the target; reads and handshakes a core
 FEW_LINKS = 12  # connections a core that are kept as long as callers like
 LINK_STEP = 1 / 20  # of the idle span: the steps by which it is cut, and the least that is left of it
@@ -205,8 +205,8 @@
 class Voice:
     """What callers are told with every answer, from the pressure that the wait estimate gives."""
 
-    def __init__(self, signal: Signal, idle: float, few: float) -> None:
-        self.signal, self.idle, self.few = signal, idle, few
+    def __init__(self, signal: Signal, callers: int, idle: float, few: float) -> None:
+        self.signal, self.callers, self.idle, self.few = signal, max(1, callers), idle, few
         self.floor, self.part, self.kept = 0.0, ALLOW_TOP, 1.0
 
     def value(self, span: float, pressure: float, room: float) -> float | None:
@@ -217,7 +217,7 @@
         if self.signal is Signal.ALLOWANCE:
             part = self.part * (1 + span * ALLOW_GAIN * max(-1.0, min(1.0, 1 - pressure)))
             self.part = min(ALLOW_TOP, max(ALLOW_LEAST, part))
-            return round(self.part * room, 1)
+            return round(self.part * room / self.callers, 1)
         return round(min(1.0, max(0.1, 1.5 - pressure / 2)), 2) if self.signal is Signal.WEIGHT else None
 
 
@@ -244,14 +244,13 @@
         self.usual_target, self.least_target = sum(targets) / len(targets), min(targets)
         self.pace, self.hold = Pace(len(op_types)), Hold()
         self.limit, self.calls = RunLimit(machine.cores, now, survival), Calls(dependency, now)
-        self.voice = Voice(callers.signal, callers.idle, FEW_LINKS * machine.cores)
+        self.voice = Voice(callers.signal, callers.count, callers.idle, FEW_LINKS * machine.cores)
         self.keys: dict[Any, float] = {}  # ends of the retained repeats' windows; emptied as they pass
         self.jobs: dict[Any, Job] = {}  # ops in hand; emptied by their answers and ends
         self.dues: list[tuple[float, Any]] = []  # emptied as their moments pass
         self.changed: list[Job] = []  # ops whose wanted state moved; emptied by every settle
         self.running: dict[int, int] = {}  # ops on the cores by key; a key goes at zero
         self.on_core, self.memory, self.unread = 0, 0.0, 0.0
-        self.heard: dict[int, float] = {}  # when callers sent last; emptied as they forget what they were told
         self.stands: dict[float, float] = {}  # by importance, the wait that its type of least patience stands
         self.storm, self.patience = 0.0, targets  # patience: the usual time from arrival to target
         self.leave_at = self.grace_until = float("inf")
@@ -265,7 +264,7 @@
             job.keep_span = kind.key_window
         elif kind.repeat is Repeat.RETRYABLE and op.subject and not op.write and self.callers.fresh:
             job.keep_span = kind.timeout + self.callers.fresh
-        self.jobs[job.id], self.heard[op.caller] = job, now
+        self.jobs[job.id] = job
         self.patience[op.type] += NEWEST * (job.target - job.reached - self.patience[op.type])
         self.memory += job.size
         self.unread += 2 * NEWEST * (op.unread - self.unread)  # ops are read in turn: the newest tells most
@@ -339,7 +338,6 @@
         # Where runs alone want the cores nothing is read: a server that callers left must not look full.
         reading = seen.get("runnable", float("inf")) - self.on_core
         self.unread *= reading > 0
-        self.heard = {caller: at for caller, at in self.heard.items() if at > now - self.callers.heeded}
         self.keys = {id: end for id, end in self.keys.items() if end >= now}
         while self.dues and self.dues[0][0] <= now + 1.5 * self.beat:
             self._give_up(heappop(self.dues)[1])
@@ -358,7 +356,7 @@
         queueing = self._queueing(now)
         self.hold.pressed = queueing > PRESSED * self.least_target
         runs = [mean[0] for mean in self.pace.runs if mean]
-        room = self.limit.limit * self.usual_target * len(runs) / max(sum(runs), self.beat) / (len(self.heard) or 1)
+        room = self.limit.limit * self.usual_target * len(runs) / max(sum(runs), self.beat)
         value = self.voice.value(span, queueing / (PRESSED * self.usual_target), room)
         crowd = max(queueing / (LINK_WAIT * self.usual_target), reading / (LINK_READS * self.machine.cores))
         told = [act.Trim(self.voice.links(span, seen.get("connections", 0), crowd))]
