Types that a machine can't do at all do not bound its lines

Cause, found on reading: on a slow machine a type whose usual run is longer than its patience bounded the line of its equals below zero, so that they were refused with nothing waiting.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -96,13 +96,14 @@
                 self.assertEqual(server.ids(Act.Nack)[-2:], nacked)
 
     def test_no_line_is_longer_than_equally_important_ops_stand(self) -> None:
-        """Type 0 could wait four seconds; type 1 matters as much and has a target of two."""
-        for importance, nacked in [(1.0, [99]), (2.0, [])]:
-            with self.subTest(importance=importance):
+        """Type 0 could wait four seconds; type 1 matters as much and has a target of two. A type that this
+        machine can't do at all does not count."""
+        for importance, took, nacked in [(1.0, 0.5, [99]), (2.0, 0.5, []), (1.0, 2.5, [])]:
+            with self.subTest(importance=importance, took=took):
                 long = KINDS[0]._replace(target=5.0)
                 server = Server(op_types=(long, KINDS[0]._replace(importance=importance)))
                 server.learned(0.5, 0)
-                server.learned(0.5, 1)
+                server.learned(took, 1)
                 server.beat()
                 for id in [*range(16), 99]:
                     server.op(id)
--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -220,7 +220,6 @@
             return round(self.part * room / self.callers, 1)
         return round(min(1.0, max(0.1, 1.5 - pressure / 2)), 2) if self.signal is Signal.WEIGHT else None
 
-
     def links(self, span: float, now_open: float, crowd: float) -> float:
         """How long a connection may be unused. Each takes a part of the cores, and past a number that is told
         nowhere new callers get none. In a crowd that is welcome: it costs nothing, but letting them in a
@@ -347,8 +346,7 @@
                 self._give_up(job.id)
         self.stands = {}
         for kind, mean, patience in zip(self.kinds, self.pace.runs, self.patience, strict=True):
-            if mean:
-                wait = patience - sum(mean[:3])
+            if mean and (wait := patience - sum(mean[:3])) > 0:  # what this machine can do at all
                 self.stands[kind.importance] = min(wait, self.stands.get(kind.importance, wait))
         self.calls.watch([now - job.since for job in self.jobs.values() if job.at is At.CALLING])
         # Where some must miss, oldest first spends the cores on whoever asked first, and short targets are
