--- a/thymeyoke/drill/__main__.py
+++ b/thymeyoke/drill/__main__.py
@@ -10,6 +10,7 @@
 
 from thymeyoke.choice import Choice
 from thymeyoke.drill import words
+from thymeyoke.start import start
 
 
 class BadInput(Exception):
@@ -46,7 +47,7 @@
                 raise BadInput(f"{name} for instance {i}, which has not been launched")
             try:
                 if name == "Launch":
-                    yoke = self.yokes[i] = Choice(now=now, **words.start(row[2], row[3]))
+                    yoke = self.yokes[i] = Choice(now=now, **start(row[2], row[3]))
                 else:
                     yoke = self.yokes[i]
                     words.event(yoke, now, row)
--- a/thymeyoke/drill/words.py
+++ b/thymeyoke/drill/words.py
@@ -7,8 +7,8 @@
 from typing import Any
 
 from thymeyoke.port import actions, facts
+from thymeyoke.start import MICRO
 
-MICRO = 1e-6
 OUTCOMES = {
     "pass": facts.Outcome.OK,
     "fault": facts.Outcome.ERROR,
@@ -19,20 +19,6 @@
     "undone": facts.Outcome.STOPPED,
     "stale_send": facts.Outcome.MOOT,
 }
-REPEATS = {
-    "retryable": facts.Repeat.RETRYABLE,
-    "dedup": facts.Repeat.KEYED,
-    "fragile": facts.Repeat.NON_RETRYABLE,
-}
-BELOW = {"one_for_all": facts.Below.SHARED, "tier": facts.Below.TIER, "silent": facts.Below.NOTHING}
-SIGNALS = {
-    "floor": facts.Signal.FLOOR,
-    "allowance": facts.Signal.ALLOWANCE,
-    "weight": facts.Signal.WEIGHT,
-    "silent": facts.Signal.NOTHING,
-}
-HALTS = {"freeze": facts.Halt.PAUSE, "discard": facts.Halt.DROP, "silent": facts.Halt.NOTHING}
-GAUGES = {"cpu_busy": "busy", "runnable": "runnable", "mem_used": "memory", "sockets": "connections"}
 HINTED, FURTHER, WRITE = 1, 2, 4  # the bits of an op's `state_bits`
 ORDER_LENGTH = 14  # name, instance and twelve values
 
@@ -41,71 +27,6 @@
     return ceil(seconds * 1e6 - 1e-3)
 
 
-def op_types(profile: dict[str, Any]) -> tuple[facts.OpType, ...]:
-    family = profile.get("family_info", {})
-    calls, without = family.get("class_calls") or [], family.get("worth_without") or []
-    return tuple(
-        facts.OpType(
-            target=row["aim_us"] * MICRO,
-            timeout=row["deadline_us"] * MICRO,
-            repeat=REPEATS[row["effect"]],
-            importance=row.get("worth", 0.0),
-            late_share=row.get("late_worth", 0.0),
-            poorer_share=without[at] if at < len(without) else 0.0,
-            calls=bool(calls[at]) if at < len(calls) else False,
-            key_window=row.get("memory_span_us", 0) * MICRO,
-            stretch=row.get("aim_stretch") or 0.0,
-        )
-        for at, row in enumerate(profile["request_classes"])
-    )
-
-
-def start(seed: int, profile: dict[str, Any]) -> dict[str, Any]:
-    """What the decisions are handed at a start, by the names that they take."""
-    family, contract, caps = profile["family_info"], profile["contract"], profile.get("caps", {})
-    return {
-        "seed": seed,
-        "op_types": op_types(profile),
-        "machine": facts.Machine(
-            cores=family["cpus"],
-            memory=family["memory_kb"],
-            run_factor=family["run_factor"],
-            key_size=family.get("kb_per_key", 0.0),
-            tick=profile.get("tick_us", 0) * MICRO,
-            halt=HALTS[family.get("halt", "silent")],
-            gauges=tuple(GAUGES.get(name, name) for name in family.get("gauges") or []),
-        ),
-        "survival": facts.Survival(
-            crowd=contract["fall_multiple"],
-            crowd_span=contract["fall_us"] * MICRO,
-            cold=bool(family.get("cold")),
-            cold_share=contract.get("cold_share", 1.0),
-            cold_span=contract.get("cold_us", 0) * MICRO,
-        ),
-        "duty": facts.Duty(contract["answer_slack_us"] * MICRO, contract["drain_grace_us"] * MICRO),
-        "dependency": facts.Dependency(
-            kind=BELOW[family.get("below", "silent")],
-            fair_calls=family.get("fair_calls") or 0.0,
-            fair_span=(family.get("calls_over_us") or 0) * MICRO,
-            linger=(family.get("linger_us") or 0) * MICRO,
-        ),
-        "callers": facts.Callers(
-            count=family.get("callers") or 0,
-            signal=SIGNALS[family.get("signal", "silent")],
-            heeded=(family.get("heeded_us") or 0) * MICRO,
-            max_wait=(caps.get("max_retry_after_us") or 0) * MICRO if caps.get("retry_after") else 0.0,
-            marks_further=bool(profile.get("clients", {}).get("marks_retry")),
-            idle=(family.get("idle_us") or 0) * MICRO,
-            fresh=(family.get("fresh_for_us") or 0) * MICRO,
-            list_follows=bool(family.get("list_follows")),
-        ),
-        "tenants": tuple(
-            facts.Tenant(row.get("share", 0.0), row.get("quota_per_s", 0.0))
-            for row in profile.get("tenants") or []
-        ),
-    }
-
-
 def op(row: list[Any]) -> facts.Op:
     """An `Order` line as an op; values that are missing at its end are absent."""
     if len(row) < ORDER_LENGTH:
--- /dev/null
+++ b/thymeyoke/net/desk.py
@@ -0,0 +1,432 @@
+"""The actor around the decisions: events in, one `settle` a batch, its actions carried out.
+
+It alone touches `Choice`, and decides nothing. What it owes besides are timers, gauges, health, the value
+that rides on answers, the drain, and a last answer to an op that would else have none.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from heapq import heappop, heappush
+from typing import Any
+
+import anyio
+
+from thymeyoke.choice import Choice
+from thymeyoke.net import log
+from thymeyoke.net.clock import clock
+from thymeyoke.net.database import Database
+from thymeyoke.net.front import Front
+from thymeyoke.net.invariants import holds
+from thymeyoke.net.keys import Key, Keys, Result
+from thymeyoke.net.mail import (
+    Answer,
+    Arrived,
+    Asked,
+    Asker,
+    Begin,
+    Call,
+    CallOver,
+    Checked,
+    Command,
+    Down,
+    Emptied,
+    Ended,
+    Event,
+    Fitness,
+    Gauge,
+    Gauges,
+    GiveUp,
+    Gone,
+    Interrupt,
+    Leave,
+    Leaving,
+    Order,
+    Refused,
+    Reply,
+    Report,
+    Synced,
+    TakeUp,
+    Trim,
+    Up,
+    Verdict,
+)
+from thymeyoke.net.processor import Processor
+from thymeyoke.net.roster import Roster
+from thymeyoke.port import actions as act
+from thymeyoke.port import facts
+from thymeyoke.port.facts import Outcome, Repeat
+
+INBOX = 4096
+GAUGE_LEAD = 0.02  # gauges are asked for this long before the module wakes: its timers never wait for them
+LEAST_LEFT = 0.001  # 0 would mean that the time left is not told
+STOP_MARGIN = 0.1  # the process ends this long before it would be killed
+FAREWELL = 0.06  # an op may cross a close for 50 ms: after the last answer the process stays this long
+COUNTS_PERIOD = 10.0
+
+
+class Slip:
+    """An op from its arrival until it is answered and its run is over."""
+
+    def __init__(self, asker: Asker, number: int, order: Order, key: Key | None) -> None:
+        self.asker, self.number, self.order, self.key = asker, number, order, key
+        self.answered = self.begun = self.over = self.paused = self.calling = False
+        self.repeats: str | None = None
+        self.command: Command | None = None  # the last to the processor, until known to have come through
+        self.sent = 0  # the link it went out on
+        self.asked = b""  # the body of the call that its run stands at
+
+
+class Desk:
+    def __init__(self, stop: float, given: dict[str, Any]) -> None:
+        self.stop, self.given = stop, given
+        self.kinds: tuple[facts.OpType, ...] = given["op_types"]
+        self.duty: facts.Duty = given["duty"]
+        self.fresh: float = given["callers"].fresh
+        self.inbox, self.events = anyio.create_memory_object_stream[Event](INBOX)
+        self.yoke: Choice | None = None  # from when the processor is up
+        self.slips: dict[str, Slip] = {}  # emptied as ops are answered and over
+        self.unanswered = 0
+        self.keys = Keys(max(kind.timeout for kind in self.kinds))
+        self.fresh_keys: dict[Key, str] = {}  # of this batch; emptied by its settle
+        self.timers: list[tuple[float, int, int | None]] = []  # wakes; gauges where no mark; emptied in time
+        self.timer_count = 0
+        self.dues: list[tuple[float, str]] = []  # emptied as their moments pass
+        self.gauges: tuple[float, ...] = ()
+        self.link = 0  # the processor's, once it is synced
+        self.own: list[Event] = []  # what carrying out led to at once; emptied within a settle
+        self.late: list[Command] = []  # to the processor, after this batch's answers
+        self.value: float | None = None
+        self.fit = True
+        self.leave_at = float("inf")
+        self.done = self.emptied = False
+        self.next_counts = clock() + COUNTS_PERIOD
+
+    def meet(self, front: Front, processor: Processor, database: Database, roster: Roster) -> None:
+        self.front, self.processor, self.database, self.roster = front, processor, database, roster
+
+    async def run(self) -> None:
+        while not self.done:
+            batch = await self._collect()
+            now = clock()
+            for event in batch:
+                self._guarded(self._hear, now, event)
+            self._guarded(self._pass, now)
+            self._settle(now)
+            if now >= self.next_counts:
+                self.next_counts = now + COUNTS_PERIOD
+                self.tell_counts()
+        await anyio.sleep(FAREWELL)
+        self.events.close()
+
+    def tell_counts(self) -> None:
+        log.say(logging.INFO, "counts", in_hand=len(self.slips), kept=len(self.keys.by_id), **log.counts)
+
+    async def _collect(self) -> list[Event]:
+        """Wait for an event or the next moment, then take all that is there."""
+        moments = [self.next_counts]
+        moments += [heap[0][0] for heap in (self.timers, self.dues) if heap]
+        if self.leave_at < float("inf"):
+            moments.append(self.leave_at - STOP_MARGIN)
+        batch: list[Event] = []
+        with anyio.move_on_after(max(0.0, min(moments) - clock())):
+            batch.append(await self.events.receive())
+        while self.events.statistics().current_buffer_used:
+            batch.append(self.events.receive_nowait())
+        return batch
+
+    def _guarded(self, what: Callable[..., None], *given: Any) -> None:
+        """An error in the decisions, or here, ends neither the server nor the answers due."""
+        try:
+            what(*given)
+        except Exception as error:
+            log.counts["desk_error"] += 1
+            log.say(logging.ERROR, "desk error", error)
+            holds(False, "no_desk_error", error=log.place(error))
+
+    # What is heard.
+
+    def _hear(self, now: float, event: Event) -> None:
+        yoke = self.yoke
+        match event:
+            case Arrived():
+                self._arrived(now, event)
+            case Checked(asker, number):
+                asker.tell(Fitness(number, self.fit, self.value))
+            case Gone(id):
+                self._gone(now, id)
+            case Ended():
+                self._ended(now, event)
+            case Asked(id, body):
+                if (slip := self.slips.get(id)) and yoke:
+                    slip.asked, slip.command = body, None
+                    yoke.blocked(now, id)
+            case CallOver():
+                self._call_over(now, event)
+            case Gauges(values):
+                self.gauges = values
+            case Up(cold, age):
+                self._up(now, cold, age)
+            case Synced(link):
+                self._synced(link)
+            case Down():
+                self.link = 0
+            case Refused(id, command):
+                self._refused(now, id, command)
+            case Leave():
+                self._leave(now)
+            case Emptied():
+                self.emptied = True
+
+    def _up(self, now: float, cold: bool, age: float) -> None:
+        if self.yoke is None:
+            survival = self.given["survival"]._replace(cold=cold)
+            self.yoke = Choice(now=now - age, **{**self.given, "survival": survival})
+            log.say(logging.INFO, "up", cold=cold, age=age)
+
+    def _arrived(self, now: float, event: Arrived) -> None:
+        asker, number, order = event
+        if self.yoke is None or order.id in self.slips:
+            log.counts["unexpected_ops"] += 1
+            return asker.tell(Answer(number, Verdict.NACK, value=self.value))
+        kind = self.kinds[order.type]
+        marked = order.key if kind.repeat is Repeat.KEYED else order.subject if self.fresh else None
+        key = (order.type, marked) if marked else None
+        slip = self.slips[order.id] = Slip(asker, number, order, key)
+        self.unanswered += 1
+        log.counts["ops"] += 1
+        due = order.since + order.patience
+        heappush(self.dues, (max(now, due) + self.duty.answer_slack, order.id))
+        # Two tries in one batch know each other though the earlier is not retained yet.
+        if key:
+            slip.repeats = self.keys.find(key, order.since) or self.fresh_keys.get(key)
+            self.fresh_keys[key] = slip.repeats or order.id
+        self.yoke.take(now, facts.Op(
+            id=order.id, type=order.type, tenant=order.tenant, size=order.size, subject=order.subject,
+            hint=0.0, further=False, write=kind.repeat is not Repeat.RETRYABLE, repeats=slip.repeats,
+            prio=order.prio, left=max(LEAST_LEFT, due - now), caller=order.caller,
+            unread=max(0.0, now - order.since)))  # fmt: skip
+        log.say(logging.DEBUG, "op", id=slip.order.id, type=order.type, left=due - now)
+
+    def _gone(self, now: float, id: str) -> None:
+        slip = self.slips.get(id)
+        if slip is None or slip.answered or self.yoke is None:
+            return
+        log.counts["gone"] += 1
+        self._close(slip)
+        if slip.key and self.fresh_keys.get(slip.key) == id:
+            del self.fresh_keys[slip.key]
+        self.yoke.gone(now, id)
+
+    def _ended(self, now: float, event: Ended) -> None:
+        id, outcome, body = event
+        slip = self.slips.get(id)
+        if slip is None or self.yoke is None:
+            log.counts["ended_unknown"] += 1
+            return
+        slip.command = None
+        if outcome is Outcome.STOPPED and slip.paused and not slip.answered:  # its answer is still owed
+            return self._guarded(self.yoke.ended, now, id, outcome)
+        slip.over = True
+        log.counts["run_" + outcome.value] += 1
+        if not slip.answered:
+            self._answer(slip, Verdict.ACK if outcome is Outcome.OK else Verdict.FAIL, body)
+        self._drop(slip)
+        self._guarded(self.yoke.ended, now, id, outcome)
+        result = Result(body if outcome is Outcome.OK else None, now)
+        self._release(now, self.keys.over(id, result), result)
+
+    def _release(self, now: float, repeats: list[str], result: Result) -> None:
+        """Answer repeats with the result that they waited for."""
+        for id in repeats:
+            slip = self.slips.get(id)
+            if slip is None or slip.answered or self.yoke is None:
+                continue
+            ok = result.body is not None
+            log.counts["repeats"] += 1
+            self._answer(slip, Verdict.ACK if ok else Verdict.FAIL, result.body or b"")
+            self._guarded(self.yoke.ended, now, id, Outcome.OK if ok else Outcome.ERROR)
+
+    def _call_over(self, now: float, event: CallOver) -> None:
+        slip = self.slips.get(event.id)
+        if slip is None or not slip.calling or self.yoke is None:
+            return
+        slip.calling = False
+        log.counts["call_" + event.outcome.value] += 1
+        if event.outcome is Outcome.OK:
+            self._command(slip, Reply(event.id, event.body))
+        self.yoke.called(now, event.id, event.outcome, event.took)
+
+    def _refused(self, now: float, id: str, command: str) -> None:
+        """The processor knows no such run, so none will end: the op is ended here."""
+        log.counts["refused_commands"] += 1
+        log.say(logging.WARNING, "command not carried out", id=id, command=command)
+        if id in self.slips:
+            self._ended(now, Ended(id, Outcome.ERROR, b""))
+
+    def _leave(self, now: float) -> None:
+        self.leave_at = now + self.stop
+        log.say(logging.INFO, "leaving", left=self.stop, in_hand=len(self.slips))
+        self.front.tell(Leaving())
+        self.emptied = not self.front.connections
+        if self.yoke:
+            self.yoke.leave(now, self.stop)
+
+    # Moments that pass.
+
+    def _pass(self, now: float) -> None:
+        self.keys.purge(now)
+        while self.timers and self.timers[0][0] <= now:
+            mark = heappop(self.timers)[2]
+            if mark is None:
+                if self.link:
+                    self.processor.tell(Gauge())
+            elif self.yoke:
+                try:
+                    self.yoke.woke(now, mark, self.gauges)
+                except Exception:  # it would never wake again
+                    self._wake(now, act.Wake(mark, self.duty.answer_slack))
+                    raise
+        while self.dues and self.dues[0][0] <= now:
+            self._last_resort(now, heappop(self.dues)[1])
+        if now >= self.leave_at - STOP_MARGIN:
+            for id in list(self.slips):
+                self._last_resort(now, id)
+        left = self.leave_at < float("inf")
+        self.done = left and not self.unanswered and (self.emptied or now >= self.leave_at - STOP_MARGIN)
+
+    def _last_resort(self, now: float, id: str) -> None:
+        slip = self.slips.get(id)
+        if slip is None or slip.answered:
+            return
+        self._answer(slip, Verdict.FAIL)
+        if self.yoke:
+            self._guarded(self.yoke.gone, now, id)
+        holds(False, "answered_in_time", id=id)
+
+    def _synced(self, link: int) -> None:
+        """The replayed notices are in: what is still open was lost with the old link, or never sent."""
+        self.link = link
+        for slip in self.slips.values():
+            if slip.command and slip.sent != link:
+                self._command(slip, slip.command)
+            if slip.paused:
+                self.processor.tell(Interrupt(slip.order.id))
+
+    # What is done.
+
+    def _settle(self, now: float) -> None:
+        """The module's actions; what they end at once is told to it, until nothing is left to say."""
+        self.fresh_keys.clear()
+        for _ in range(8):
+            actions: list[act.Action] = []
+            try:
+                actions = self.yoke.settle(now) if self.yoke else []
+            except Exception as error:
+                log.counts["desk_error"] += 1
+                log.say(logging.ERROR, "settle failed", error)
+                holds(False, "no_desk_error", error=log.place(error))
+            for action in actions:
+                self._guarded(self._carry_out, now, action)
+            for command in self.late:
+                self.processor.tell(command)
+            self.late.clear()
+            own, self.own = self.own, []
+            for event in own:
+                self._guarded(self._hear, now, event)
+            if not own and not any(isinstance(action, act.Reuse | act.Forget) for action in actions):
+                break
+
+    def _carry_out(self, now: float, action: act.Action) -> None:
+        match action:
+            case act.Say(value):
+                self.value = value
+            case act.Health(_, fit):
+                self.fit = fit
+                self.roster.tell(Report(fit))
+            case act.Trim(span):
+                self.front.tell(Trim(span))
+            case act.Wake():
+                self._wake(now, action)
+            case act.Note(text):
+                log.say(logging.INFO, "note", text=text)
+            case _:
+                slip = self.slips.get(action.id)
+                if slip is None:
+                    if isinstance(action, act.Forget):
+                        self._forget(now, action.id)
+                    return
+                self._carry_out_for(now, slip, action)
+
+    def _carry_out_for(self, now: float, slip: Slip, action: act.Action) -> None:
+        id = slip.order.id
+        match action:
+            case act.Run():
+                if slip.begun and slip.paused:
+                    slip.paused = False
+                    self._command(slip, TakeUp(id))
+                elif holds(not slip.begun, "runs_once", id=id):
+                    slip.begun = True
+                    self._command(slip, Begin(id, slip.order.type, slip.order.body))
+            case act.Nack(_, nowhere_else, wait):
+                retryable = self.kinds[slip.order.type].repeat is Repeat.RETRYABLE
+                if holds(not slip.begun or retryable, "nacked_never_ran", id=id):
+                    self._answer(slip, Verdict.NACK, wait=wait, nowhere_else=nowhere_else)
+            case act.Fail():
+                self._answer(slip, Verdict.FAIL)
+            case act.Pause():
+                slip.paused = True
+                self.late.append(Interrupt(id))  # after the answer that it may come with
+            case act.Reuse():
+                result = self.keys.repeat(id, slip.repeats)
+                if result is not None:
+                    self._release(now, [id], result)
+            case act.Call(_, until):
+                slip.calling = True
+                if not self.database.tell(Call(id, until, slip.asked)):
+                    self.own.append(CallOver(id, Outcome.UNREACHED, b"", 0.0))
+            case act.Keep(_, span):
+                if slip.key:
+                    self.keys.keep(id, slip.key, now + span, 0.0 if slip.order.key else self.fresh)
+            case act.Forget():
+                self._forget(now, id)
+            case act.GoOn():  # no protocol here has a word for it
+                if not holds(False, "goes_on_only_where_it_can", id=id):
+                    self._answer(slip, Verdict.FAIL)
+
+    def _forget(self, now: float, id: str) -> None:
+        """It never ran: its repeats get nothing from it."""
+        self._release(now, self.keys.forget(id), Result(None, now))
+
+    def _wake(self, now: float, wake: act.Wake) -> None:
+        self.timer_count += 1
+        at = now + wake.span
+        heappush(self.timers, (at - GAUGE_LEAD, self.timer_count, None))
+        heappush(self.timers, (at, self.timer_count, wake.mark))
+
+    def _command(self, slip: Slip, command: Command) -> None:
+        slip.command = command
+        if self.link:
+            slip.sent = self.link
+            self.processor.tell(command)
+
+    def _answer(self, slip: Slip, verdict: Verdict, body: bytes = b"", **more: Any) -> None:
+        if not holds(not slip.answered, "answered_once", id=slip.order.id):
+            return
+        slip.asker.tell(Answer(slip.number, verdict, body, self.value, **more))
+        log.counts[verdict.value] += 1
+        self._close(slip)
+
+    def _close(self, slip: Slip) -> None:
+        """Answered, or nobody waits: its call is given up, and it goes unless its run is still to end."""
+        slip.answered = True
+        self.unanswered -= 1
+        if slip.calling:
+            slip.calling = False
+            self.database.tell(GiveUp(slip.order.id))
+        self._drop(slip)
+
+    def _drop(self, slip: Slip) -> None:
+        if slip.answered and (slip.over or not slip.begun):
+            self.slips.pop(slip.order.id, None)
--- /dev/null
+++ b/thymeyoke/net/front.py
@@ -0,0 +1,205 @@
+"""The listener, and an actor for each router connection."""
+
+from __future__ import annotations
+
+import logging
+import math
+
+import anyio
+from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskGroup
+from anyio.streams.memory import MemoryObjectSendStream
+
+from thymeyoke.net import log, rpc
+from thymeyoke.net.clock import clock
+from thymeyoke.net.mail import (
+    Answer,
+    Arrived,
+    Checked,
+    Emptied,
+    Event,
+    Gone,
+    Leaving,
+    Telling,
+    Trim,
+    Verdict,
+    post,
+)
+from thymeyoke.start import Address, Names
+
+OPEN_OPS = 32  # of one connection
+OUTBOX = 4 * OPEN_OPS  # answers that a router may leave unread
+CHUNK = 1 << 14
+SPARE_DESCRIPTORS = 32  # kept for the links, the list and the interpreter
+ACCEPT_PAUSE = 0.05  # after a failed accept, or with no descriptor left
+BACKLOG = 256
+GRACE = 1.0  # a router that was told `leaving` closes by itself; past this it is done for it
+
+
+class Connection:
+    """One router connection. `open` is emptied by answers, cancels and the connection's end."""
+
+    def __init__(self, stream: SocketStream, names: Names, desk: MemoryObjectSendStream[Event]) -> None:
+        self.stream, self.desk, self.reader = stream, desk, rpc.Reader(names)
+        self.open: dict[int, str] = {}
+        self.outbox, self.unsent = anyio.create_memory_object_stream[Telling | None](OUTBOX)
+        self.scope = anyio.CancelScope()
+        self.used, self.leaving_since, self.ended = clock(), math.inf, False
+
+    def tell(self, what: Telling | None) -> None:
+        if isinstance(what, Answer):
+            self.open.pop(what.number, None)
+        elif isinstance(what, Leaving):
+            self.leaving_since = min(self.leaving_since, clock())
+        try:
+            self.outbox.send_nowait(what)
+        except anyio.WouldBlock:  # it reads no answers: it is closed, and its ops with it
+            log.counts["outbox_full"] += 1
+            self.scope.cancel()
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            log.counts["answer_unsent"] += 1
+
+    async def run(self) -> None:
+        try:
+            with self.scope:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._write)
+                    await self._read()
+        except Exception as error:
+            log.counts["connection_error"] += 1
+            log.say(logging.ERROR, "connection ends", error)
+        finally:
+            self.unsent.close()
+            with anyio.CancelScope(shield=True):
+                lost, self.open = list(self.open.values()), {}
+                for id in lost:
+                    await post(self.desk, Gone(id))
+                await anyio.aclose_forcefully(self.stream)
+
+    async def _read(self) -> None:
+        try:
+            while True:
+                data = await self.stream.receive(CHUNK)
+                self.used = clock()
+                for message in self.reader.feed(data):
+                    await self._take(message)
+        except anyio.EndOfStream:  # only its sending half ended: what is open may still be answered
+            self.ended = True
+            self.tell(None)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            self.scope.cancel()
+        except rpc.BadFrame as error:
+            log.counts["bad_frame"] += 1
+            log.say(logging.WARNING, "connection closed", why=str(error))
+            self.scope.cancel()
+
+    async def _take(self, message: rpc.Message) -> None:
+        match message:
+            case rpc.Ask(number, order):
+                if number in self.open:
+                    raise rpc.BadFrame(f"number {number} is open already")
+                if len(self.open) >= OPEN_OPS:
+                    log.counts["too_many_open"] += 1
+                    return self.tell(Answer(number, Verdict.NACK))
+                self.open[number] = order.id
+                await self.desk.send(Arrived(self, number, order))
+            case rpc.Check(number):
+                await self.desk.send(Checked(self, number))
+            case rpc.Cancel(number):
+                if id := self.open.pop(number, None):
+                    await self.desk.send(Gone(id))
+            case rpc.Unclear(number, why):
+                log.counts["unclear"] += 1
+                log.say(logging.WARNING, "op not understood", why=why)
+                self.tell(Answer(number, Verdict.NACK))
+
+    async def _write(self) -> None:
+        try:
+            async for first in self.unsent:
+                batch = [first]
+                while self.unsent.statistics().current_buffer_used:
+                    batch.append(self.unsent.receive_nowait())
+                if data := b"".join(rpc.encode(what) for what in batch if what is not None):
+                    await self.stream.send(data)
+                    self.used = clock()
+                if self.ended and not self.open and not self.unsent.statistics().current_buffer_used:
+                    self.scope.cancel()
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            self.scope.cancel()
+
+
+class Front:
+    """Takes connections and closes what is unused. `connections` is emptied as they end."""
+
+    def __init__(
+        self, names: Names, descriptors: int, idle: float, desk: MemoryObjectSendStream[Event]
+    ) -> None:
+        self.names, self.most, self.desk = names, max(1, descriptors - SPARE_DESCRIPTORS), desk
+        self.connections: set[Connection] = set()
+        self.idle, self.leaving = idle, False
+        self.accepting = anyio.CancelScope()
+        self.listener: SocketListener | None = None
+
+    def tell(self, what: Trim | Leaving) -> None:
+        if isinstance(what, Trim):
+            self.idle = what.span
+            return
+        self.leaving = True
+        self.accepting.cancel()
+        for connection in self.connections:
+            connection.tell(what)
+
+    async def listen(self, where: Address) -> Address:
+        many = await anyio.create_tcp_listener(local_host=where.host, local_port=where.port, backlog=BACKLOG)
+        self.listener = many.listeners[0]
+        host, port = self.listener.extra(SocketAttribute.local_address)[:2]
+        return Address(host, port)
+
+    async def run(self) -> None:
+        assert self.listener is not None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._trim)
+            with self.accepting:
+                await self._accept(tasks, self.listener)
+            await self.listener.aclose()
+
+    async def _accept(self, tasks: TaskGroup, listener: SocketListener) -> None:
+        while True:
+            if len(self.connections) >= self.most:
+                log.counts["no_descriptor"] += 1
+                await anyio.sleep(ACCEPT_PAUSE)
+                continue
+            try:
+                stream = await listener.accept()
+            except OSError as error:  # no descriptors, or a peer that left while it waited
+                log.counts["accept_failed"] += 1
+                log.say(logging.WARNING, "accept failed", error)
+                await anyio.sleep(ACCEPT_PAUSE)
+                continue
+            tasks.start_soon(self._serve, Connection(stream, self.names, self.desk))
+
+    async def _serve(self, connection: Connection) -> None:
+        self.connections.add(connection)
+        log.counts["connections"] += 1
+        if self.leaving:
+            connection.tell(Leaving())
+        try:
+            await connection.run()
+        finally:
+            self.connections.discard(connection)
+            if self.leaving and not self.connections:
+                with anyio.CancelScope(shield=True):
+                    await post(self.desk, Emptied())
+
+    async def _trim(self) -> None:
+        """Close what is unused for long. Only connections with no op open, and the router is told first."""
+        while True:
+            await anyio.sleep(min(1.0, max(ACCEPT_PAUSE, self.idle / 10)))
+            now = clock()
+            for connection in list(self.connections):
+                if connection.open:
+                    continue
+                if now > connection.leaving_since + GRACE:
+                    connection.scope.cancel()
+                elif now > connection.used + self.idle and connection.leaving_since == math.inf:
+                    log.counts["trimmed"] += 1
+                    connection.tell(Leaving())
--- /dev/null
+++ b/thymeyoke/net/log.py
@@ -0,0 +1,49 @@
+"""Log lines of key=value pairs on standard error, and the counters that are logged now and then."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from typing import Any
+
+logger = logging.getLogger("thymeyoke")
+counts: Counter[str] = Counter()  # of this process; its keys are words of the code, not of the input
+
+
+def _quoted(value: object) -> str:
+    text = f"{value:.6g}" if isinstance(value, float) else str(value)
+    plain = text.isprintable() and not any(mark in text for mark in ' "=')
+    return text if text and plain else '"' + text.encode("unicode_escape").decode().replace('"', "'") + '"'
+
+
+class KeyValue(logging.Formatter):
+    def format(self, record: logging.LogRecord) -> str:
+        pairs = {"at": record.created, "level": record.levelname.lower(), "what": record.getMessage()}
+        pairs |= getattr(record, "pairs", {})
+        if record.exc_info and record.exc_info[1] is not None:
+            pairs["error"] = place(record.exc_info[1])
+        pairs["at"] = f"{record.created:.3f}"
+        return " ".join(f"{key}={_quoted(value)}" for key, value in pairs.items())
+
+
+def place(error: BaseException) -> str:
+    """An exception's type, text and place, on one line."""
+    trace = error.__traceback__
+    while trace and trace.tb_next:
+        trace = trace.tb_next
+    where = f"{trace.tb_frame.f_code.co_filename.rsplit('/', 1)[-1]}:{trace.tb_lineno}" if trace else "?"
+    return f"{type(error).__name__} at {where}: {error}".replace("\n", " ")
+
+
+def say(level: int, what: str, error: BaseException | None = None, **pairs: Any) -> None:
+    if logger.isEnabledFor(level):
+        info = (type(error), error, error.__traceback__) if error else None
+        logger.log(level, what, extra={"pairs": pairs}, exc_info=info)
+
+
+def set_up(level: str) -> None:
+    handler = logging.StreamHandler()
+    handler.setFormatter(KeyValue())
+    logger.addHandler(handler)
+    logger.setLevel(level.upper())
+    logger.propagate = False
--- /dev/null
+++ b/thymeyoke/net/mail.py
@@ -0,0 +1,200 @@
+"""What the actors of a server tell each other: small values, free of any protocol's names.
+
+Peers `post` to the desk and wait where it is busy; the desk tells peers and never waits.
+"""
+
+from __future__ import annotations
+
+from contextlib import suppress
+from enum import Enum
+from typing import NamedTuple, Protocol
+
+import anyio
+from anyio.streams.memory import MemoryObjectSendStream
+
+from thymeyoke.port.facts import Outcome
+
+
+class Order(NamedTuple):
+    """An op as it was read."""
+
+    id: str
+    type: int
+    tenant: int
+    caller: int
+    since: float  # when it reached this machine
+    patience: float  # from `since` until its caller gives up this try
+    size: float
+    prio: float
+    key: str | None  # the same for all tries of a keyed op
+    subject: str | None
+    body: bytes
+
+
+class Verdict(Enum):
+    ACK = "acked"
+    NACK = "nacked"
+    FAIL = "failed"
+
+
+class Answer(NamedTuple):
+    """The one final answer to an op, or to a health check."""
+
+    number: int
+    verdict: Verdict
+    body: bytes = b""
+    value: float | None = None
+    wait: float = 0.0
+    nowhere_else: bool = False
+
+
+class Fitness(NamedTuple):
+    number: int
+    fit: bool
+    value: float | None
+
+
+class Leaving(NamedTuple):
+    """To a caller: send nothing new on this connection. To the front: the whole server leaves."""
+
+
+Telling = Answer | Fitness | Leaving
+
+
+class Trim(NamedTuple):
+    span: float
+
+
+class Asker(Protocol):
+    """Where an answer goes. A front's actor for one peer; it never makes the desk wait."""
+
+    def tell(self, what: Telling) -> None: ...
+
+
+# To the desk.
+
+
+class Arrived(NamedTuple):
+    asker: Asker
+    number: int
+    order: Order
+
+
+class Checked(NamedTuple):
+    asker: Asker
+    number: int
+
+
+class Gone(NamedTuple):
+    id: str
+
+
+class Emptied(NamedTuple):
+    """No connection is left."""
+
+
+class Leave(NamedTuple):
+    """The notice to leave."""
+
+
+class Up(NamedTuple):
+    cold: bool
+    age: float  # of the processor's start
+
+
+class Synced(NamedTuple):
+    """All that ended while a link was away has been told; commands go out on this link."""
+
+    link: int
+
+
+class Down(NamedTuple):
+    pass
+
+
+class Ended(NamedTuple):
+    id: str
+    outcome: Outcome
+    result: bytes
+
+
+class Asked(NamedTuple):
+    """A run stands at a call with this body."""
+
+    id: str
+    body: bytes
+
+
+class Gauges(NamedTuple):
+    values: tuple[float, ...]
+
+
+class Refused(NamedTuple):
+    """A command that the processor did not carry out."""
+
+    id: str
+    command: str
+
+
+class CallOver(NamedTuple):
+    id: str
+    outcome: Outcome
+    body: bytes
+    took: float
+
+
+# From the desk to the processor, the database and the list.
+
+
+class Begin(NamedTuple):
+    id: str
+    type: int
+    body: bytes
+
+
+class Interrupt(NamedTuple):
+    id: str
+
+
+class TakeUp(NamedTuple):
+    """Go on with a paused run."""
+
+    id: str
+
+
+class Reply(NamedTuple):
+    """What came back from the call that a run stands at."""
+
+    id: str
+    body: bytes
+
+
+class Gauge(NamedTuple):
+    """Ask for the gauges."""
+
+
+class Call(NamedTuple):
+    id: str
+    until: float
+    body: bytes
+
+
+class GiveUp(NamedTuple):
+    id: str
+
+
+class Report(NamedTuple):
+    fit: bool
+
+
+Command = Begin | Interrupt | TakeUp | Reply | Gauge
+Event = (
+    Arrived | Checked | Gone | Emptied | Leave
+    | Up | Synced | Down | Ended | Asked | Gauges | Refused | CallOver
+)  # fmt: skip
+
+
+async def post(desk: MemoryObjectSendStream[Event], event: Event) -> None:
+    """Tell the desk, unless it has gone home."""
+    with suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
+        await desk.send(event)
--- /dev/null
+++ b/thymeyoke/net/processor.py
@@ -0,0 +1,170 @@
+"""The link to the processor: commands out, notices in, one JSON object a line."""
+
+from __future__ import annotations
+
+import logging
+from base64 import b64decode, b64encode
+from typing import Any
+
+import anyio
+import orjson
+from anyio.abc import ByteStream
+from anyio.streams.memory import MemoryObjectSendStream
+
+from thymeyoke.net import log
+from thymeyoke.net.mail import (
+    Asked,
+    Begin,
+    Command,
+    Down,
+    Ended,
+    Event,
+    Gauge,
+    Gauges,
+    Interrupt,
+    Refused,
+    Reply,
+    Synced,
+    TakeUp,
+    Up,
+    post,
+)
+from thymeyoke.port.facts import Outcome
+from thymeyoke.start import Address, Names
+
+ENDS = {"OK": Outcome.OK, "ERROR": Outcome.ERROR, "STOPPED": Outcome.STOPPED, "MOOT": Outcome.MOOT}
+OUTBOX = 1024
+CHUNK = 1 << 16
+LINE_LIMIT = 1 << 16
+FIRST_PAUSE, LAST_PAUSE = 0.02, 0.5  # between tries to connect
+SYNC, GAUGES = "sync", "gauges"
+
+
+class BadLine(Exception):
+    """What the processor sent is not of the protocol."""
+
+
+def encode(command: Command, op_types: list[str]) -> bytes:
+    match command:
+        case Begin(id, type, body):
+            said = {"event": "begin", "handle": id, "entry": op_types[type], "arg": b64encode(body).decode()}
+        case Reply(id, body):
+            said = {"event": "answer", "handle": id, "arg": b64encode(body).decode()}
+        case Interrupt(id):
+            said = {"event": "interrupt", "handle": id}
+        case TakeUp(id):
+            said = {"event": "goon", "handle": id}
+        case Gauge():
+            said = {"event": "usage", "ticket": GAUGES}
+    return orjson.dumps(said) + b"\n"
+
+
+def decode(line: bytes, link: int) -> tuple[int, Event | None]:
+    """A notice's number, 0 where it has none, and what it says."""
+    try:
+        said: dict[str, Any] = orjson.loads(line)
+        cursor = int(said.get("cursor", 0))
+        match said["event"]:
+            case "hi":
+                return cursor, Up(said["fate"] == "COLD", said["lasted"] / 1000)
+            case "complete":
+                result = b64decode(said.get("arg") or "", validate=True)
+                return cursor, Ended(said["handle"], ENDS[said["fate"]], result)
+            case "ask":
+                return cursor, Asked(said["handle"], b64decode(said.get("arg") or "", validate=True))
+            case "used" if said.get("ticket") == f"{SYNC}{link}":
+                return cursor, Synced(link)
+            case "used":
+                return cursor, Gauges(tuple(float(value) for value in said["figures"]))
+            case "reject":
+                return cursor, Refused(said.get("handle", ""), str(said.get("fate")))
+            case "remark":
+                return cursor, None
+        raise BadLine(f"unknown event {str(said['event'])[:40]}")
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise BadLine(f"{type(error).__name__} {error} in {line[:80]!r}") from None
+
+
+class Processor:
+    """Keeps the link up. What a lost link swallowed is the desk's to send again, once it is `Synced`."""
+
+    def __init__(self, where: Address, names: Names, desk: MemoryObjectSendStream[Event]) -> None:
+        self.where, self.op_types, self.desk = where, list(names.op_types), desk
+        self.outbox, self.unsent = anyio.create_memory_object_stream[Command](OUTBOX)
+        self.scope = anyio.CancelScope()  # of the present link
+        self.link = self.cursor = 0
+
+    def tell(self, command: Command) -> None:
+        try:
+            self.outbox.send_nowait(command)
+        except anyio.WouldBlock:
+            log.counts["processor_outbox_full"] += 1
+            self.scope.cancel()
+
+    async def run(self) -> None:
+        pause = FIRST_PAUSE
+        while True:
+            try:
+                with anyio.fail_after(1.0):
+                    stream = await anyio.connect_tcp(self.where.host, self.where.port)
+            except (OSError, TimeoutError):
+                await anyio.sleep(pause)
+                pause = min(LAST_PAUSE, 2 * pause)
+                continue
+            pause = FIRST_PAUSE
+            self.link += 1
+            try:
+                await self._live(stream)
+            except Exception as error:
+                log.counts["processor_error"] += 1
+                log.say(logging.ERROR, "processor link ends", error)
+            log.counts["processor_links_lost"] += 1
+            await anyio.aclose_forcefully(stream)
+            await post(self.desk, Down())
+            await anyio.sleep(pause)
+
+    async def _live(self, stream: ByteStream) -> None:
+        while self.unsent.statistics().current_buffer_used:  # of the link before: the desk sends again
+            self.unsent.receive_nowait()
+        with anyio.CancelScope() as self.scope:
+            async with anyio.create_task_group() as tasks:
+                hello = orjson.dumps({"event": "hello", "cursor": self.cursor})
+                sync = orjson.dumps({"event": "usage", "ticket": f"{SYNC}{self.link}"})
+                await stream.send(hello + b"\n" + sync + b"\n")
+                tasks.start_soon(self._write, stream)
+                await self._read(stream)
+                self.scope.cancel()
+
+    async def _write(self, stream: ByteStream) -> None:
+        try:
+            async for command in self.unsent:
+                batch = [encode(command, self.op_types)]
+                while self.unsent.statistics().current_buffer_used:
+                    batch.append(encode(self.unsent.receive_nowait(), self.op_types))
+                await stream.send(b"".join(batch))
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            self.scope.cancel()
+
+    async def _read(self, stream: ByteStream) -> None:
+        rest = b""
+        try:
+            while True:
+                *lines, rest = (rest + await stream.receive(CHUNK)).split(b"\n")
+                if len(rest) > LINE_LIMIT:
+                    raise BadLine("a line is too long")
+                for line in lines:
+                    await self._heard(line)
+        except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return
+        except BadLine as error:
+            log.counts["processor_bad_line"] += 1
+            log.say(logging.WARNING, "processor link dropped", why=str(error))
+
+    async def _heard(self, line: bytes) -> None:
+        cursor, event = decode(line, self.link)
+        if cursor:
+            if cursor <= self.cursor:  # told before
+                return
+            self.cursor = cursor
+        if event is not None:
+            await post(self.desk, event)
--- /dev/null
+++ b/thymeyoke/net/roster.py
@@ -0,0 +1,91 @@
+"""Reports to the list by which routers find this server: HTTP over one kept connection."""
+
+from __future__ import annotations
+
+import logging
+
+import anyio
+import h11
+import orjson
+from anyio.abc import ByteStream
+
+from thymeyoke.net import log
+from thymeyoke.net.mail import Report
+from thymeyoke.start import Address
+
+PERIOD = 0.9  # seconds between reports
+TIMEOUT = 1.0
+CHUNK = 1 << 12
+
+
+class BadReport(Exception):
+    """A report that was not taken."""
+
+
+class Roster:
+    """Reports about once a second. A list that is away disturbs nothing else."""
+
+    def __init__(self, where: Address, name: str) -> None:
+        self.where, self.path, self.fit = where, f"/ns/hosts/{name}", True
+        self.outbox, self.unsent = anyio.create_memory_object_stream[Report](4)
+        self.stream: ByteStream | None = None
+        self.http = h11.Connection(h11.CLIENT)
+
+    def tell(self, report: Report) -> None:
+        try:
+            self.outbox.send_nowait(report)
+        except anyio.WouldBlock:
+            log.counts["roster_outbox_full"] += 1
+
+    async def run(self) -> None:
+        while True:
+            try:
+                with anyio.fail_after(TIMEOUT):
+                    await self._report()
+                log.counts["reports"] += 1
+            except (OSError, TimeoutError, anyio.EndOfStream, anyio.BrokenResourceError,
+                    anyio.ClosedResourceError, h11.ProtocolError, BadReport) as error:  # fmt: skip
+                if log.counts["reports_failed"] == 0:
+                    log.say(logging.WARNING, "report failed", error)
+                log.counts["reports_failed"] += 1
+                await self._close()
+            with anyio.move_on_after(PERIOD):
+                self.fit = (await self.unsent.receive()).fit
+
+    async def _close(self) -> None:
+        if self.stream:
+            stream, self.stream = self.stream, None
+            await anyio.aclose_forcefully(stream)
+
+    async def _report(self) -> None:
+        if self.stream is None:
+            self.stream = await anyio.connect_tcp(self.where.host, self.where.port)
+            self.http = h11.Connection(h11.CLIENT)
+        body = orjson.dumps({"serving": "yes" if self.fit else "no"})
+        headers = [("Host", str(self.where)), ("Content-Length", str(len(body)))]
+        ask = h11.Request(method="PUT", target=self.path, headers=headers)
+        parts = [self.http.send(part) for part in (ask, h11.Data(data=body), h11.EndOfMessage())]
+        await self.stream.send(b"".join(part or b"" for part in parts))
+        status = await self._status(self.stream)
+        if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
+            self.http.start_next_cycle()
+        else:
+            await self._close()
+        if status != 204:
+            raise BadReport(f"status {status}")
+
+    async def _status(self, stream: ByteStream) -> int:
+        status = 0
+        while True:
+            event = self.http.next_event()
+            if event is h11.NEED_DATA:
+                try:
+                    self.http.receive_data(await stream.receive(CHUNK))
+                except anyio.EndOfStream:
+                    self.http.receive_data(b"")
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.EndOfMessage):
+                return status
+            elif isinstance(event, h11.ConnectionClosed):
+                raise BadReport("closed without an answer")
