A time-out of the calls' actor no longer cuts a call that is being sent

The module's state each half second, by a probe: the recent time of calls rose from 0.007 to over 1 s with one call out, nothing on the cores, and all ops nacked early by their calls' queue, until the call's time was over. Ruled out: CPU (0.25 of a core at most in a second, sampled), lost notices (on_core and jobs go back to none), unread time (5 ms). At fault: database.py, Database.run: sending stood inside the move_on_after of the wait, whose moments are the time-outs of calls long answered; the checkpoint in send was cut, and the call stayed out though never sent.

--- a/thymeyoke/net/database.py
+++ b/thymeyoke/net/database.py
@@ -112,16 +112,21 @@
                 moment = self.ends[0][0] if self.ends else now + IDLE
                 if self.stream:
                     moment = min(moment, self.used + IDLE)
+                what = None
                 with anyio.move_on_after(max(0.0, moment - now)):
                     what = await self.unsent.receive()
-                    try:
-                        await self._do(tasks, what)
-                    except Exception as error:
-                        log.counts["database_error"] += 1
-                        log.say(logging.ERROR, "call not made", error)
-                        await self._over(what.id, Outcome.CUT)
+                if what is not None:  # outside the scope: the time-out would cut a call that is being sent
+                    await self._make(tasks, what)
                 await self._pass(clock())
 
+    async def _make(self, tasks: TaskGroup, what: Call | GiveUp) -> None:
+        try:
+            await self._do(tasks, what)
+        except Exception as error:
+            log.counts["database_error"] += 1
+            log.say(logging.ERROR, "call not made", error)
+            await self._over(what.id, Outcome.CUT)
+
     async def _do(self, tasks: TaskGroup, what: Call | GiveUp) -> None:
         if isinstance(what, GiveUp):
             if self.out.pop(what.id, None):
