--- /dev/null
+++ b/examples/toy.py
@@ -0,0 +1,74 @@
+"""A toy to try a server with: what stands around it, and a router that sends a few ops.
+
+    python -m examples.toy around &
+    python -m thymeyoke serve --config examples/start.json &
+    python -m examples.toy send --ops 20
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import anyio
+import click
+
+from examples.standins import Database, Processor, Roster, Router
+from thymeyoke import start
+
+START = Path(__file__).with_name("start.json")
+
+
+@click.group()
+def main() -> None:
+    """Try a server on this machine. Start files must name loopback addresses."""
+
+
+start_file = click.option("--config", default=START, type=click.Path(path_type=Path), help="The start file.")
+
+
+@main.command()
+@start_file
+def around(config: Path) -> None:
+    """Stand in for the processor, the database and the list, until interrupted."""
+
+    async def run() -> None:
+        station = start.read(config)[0]
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(Processor(span=0.2).run, station.processor.port)
+            await tasks.start(Database().run, station.database.port)
+            await tasks.start(Roster().run, station.roster.port)
+            click.echo("processor, database and list are up")
+
+    anyio.run(run)
+
+
+@main.command()
+@start_file
+@click.option("--ops", default=10, type=click.IntRange(1, 32), help="How many, all at once.")
+def send(config: Path, ops: int) -> None:
+    """Send ops of all types by turns and print their answers."""
+
+    async def run() -> int:
+        station, names, _ = start.read(config)
+        failed = 0
+        async with anyio.create_task_group() as tasks:
+            router = await Router.connect(tasks, station.listen.host, station.listen.port)
+            types = list(names.op_types)
+            tenant = {"project": next(iter(names.tenants))} if names.tenants else {}
+            sent = [
+                (await router.ask(types[at % len(types)], b"op %d" % at, replay=f"{at:032x}", **tenant), at)
+                for at in range(ops)
+            ]
+            for number, at in sent:
+                error, result = await router.answer(number, 10.0)
+                failed += error is not None
+                click.echo(f"op {at}: " + (f"{error[0]} {error[1]}" if error else f"{result[0]} {result[1]}"))
+            tasks.cancel_scope.cancel()
+        return failed
+
+    failed = anyio.run(run)
+    click.echo(f"{ops - failed} acked, {failed} nacked or failed")
+
+
+if __name__ == "__main__":
+    main(prog_name="examples.toy")
--- a/tests/server.py
+++ b/tests/server.py
@@ -1,10 +1,22 @@
-"""One server for the tests: a `Choice` with small round figures, and shorthands to feed it."""
+"""For the tests: a `Choice` with small round figures and shorthands to feed it, and a server on sockets
+with the toy's stand-ins around it."""
 
 from __future__ import annotations
 
+import logging
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
 from typing import Any
 
+import anyio
+import orjson
+from anyio.abc import TaskGroup
+
+from examples.standins import Database, Processor, Roster, Router
+from thymeyoke import start
 from thymeyoke.choice import Choice
+from thymeyoke.net import log, server
 from thymeyoke.port import actions, facts
 from thymeyoke.port.facts import Repeat
 
@@ -68,4 +80,62 @@
         return [did.id for did in self.did if type(did) is action]
 
 
-__all__ = ["KINDS", "Server", "actions", "facts"]
+START = Path(__file__).parent.parent / "examples" / "start.json"
+log.logger.addHandler(logging.NullHandler())
+log.logger.propagate = False
+
+
+def told(**changed: Any) -> dict[str, Any]:
+    """The toy's start file; a name with a dot's place as `__` reaches into the settings."""
+    given = orjson.loads(START.read_bytes())
+    for name, value in changed.items():
+        *path, last = name.split("__")
+        at = given
+        for part in path:
+            at = at[part]
+        at[last] = value
+    return given
+
+
+class Place:
+    """A server on sockets and what stands around it."""
+
+    def __init__(self, tasks: TaskGroup, processor: Processor, database: Database, roster: Roster) -> None:
+        self.tasks, self.processor, self.database, self.roster = tasks, processor, database, roster
+        self.ended = anyio.Event()
+
+    async def serve(self, changed: dict[str, Any]) -> None:
+        addresses = {"listen": 0, "processor": self.processor.port, "db": self.database.port,
+                     "naming": self.roster.port}  # fmt: skip
+        given = told(**{name: f"127.0.0.1:{port}" for name, port in addresses.items()} | changed)
+
+        async def run(*, task_status: Any) -> None:
+            await server.serve(
+                start.station(given), start.names(given["settings"]), start.start(7, given["settings"]),
+                task_status=task_status)  # fmt: skip
+            self.ended.set()
+
+        self.where = await self.tasks.start(run)
+
+    async def router(self) -> Router:
+        return await Router.connect(self.tasks, self.where.host, self.where.port)
+
+
+@asynccontextmanager
+async def place(
+    processor: Processor | None = None, database: Database | None = None, roster: Roster | None = None,
+    **changed: Any,
+) -> AsyncIterator[Place]:  # fmt: skip
+    """A server that is up, on free ports; all of it is taken down at the end."""
+    async with anyio.create_task_group() as tasks:
+        here = Place(tasks, processor or Processor(), database or Database(), roster or Roster())
+        for around in (here.processor, here.database, here.roster):
+            await tasks.start(around.run)
+        await here.serve(changed)
+        await here.processor.until(lambda: any(said["event"] == "usage" for said in here.processor.heard))
+        with anyio.fail_after(20):
+            yield here
+        tasks.cancel_scope.cancel()
+
+
+__all__ = ["KINDS", "Place", "Server", "actions", "facts", "place", "told"]
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,541 @@
+"""Cases against the server on sockets: its codecs alone, then a server with stand-ins around it."""
+
+from __future__ import annotations
+
+import logging
+import os
+import signal
+import tempfile
+import time
+import unittest
+from pathlib import Path
+from unittest import mock
+
+import anyio
+import msgpack
+import orjson
+
+from examples.standins import Database, Processor, Roster
+from tests.server import Place, place, told
+from thymeyoke import start
+from thymeyoke.choice import Choice
+from thymeyoke.net import database, desk, front, log, mail, processor, rpc
+from thymeyoke.net.keys import Keys, Result
+from thymeyoke.port.facts import Outcome
+
+NAMES = start.names(told()["settings"])
+REF = "9b1f03aa5c7e2d41"
+FIELDS = {"ref": REF, "since": "1764576000123", "sender": "4", "project": "south", "allow": "480",
+          "room": "24.5", "class_rank": "0.625"}  # fmt: skip
+KEY = {"replay": "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"}
+
+
+def pieces(data: bytes) -> list[list[bytes]]:
+    """The data cut in two at every byte, and byte by byte."""
+    cuts = [[data[:at], data[at:]] for at in range(len(data))]
+    return [*cuts, [data[at : at + 1] for at in range(len(data))]]
+
+
+class Codecs(unittest.TestCase):
+    def test_frames_cut_anywhere(self) -> None:
+        body = bytes(range(256))
+        frames = [[0, 7, "buy", [FIELDS | KEY, body]], [0, 8, "alive", [{}]], [2, "cancelRequest", [7]],
+                  [0, 9, "look", [FIELDS | {"lookup": "7f3a"}, b""]]]  # fmt: skip
+        order = mail.Order(REF, 1, 1, 4, 1764576000.123, 0.48, 24.5, 0.625, KEY["replay"], None, body)
+        second = order._replace(type=0, key=None, subject="7f3a", body=b"")
+        expected = [rpc.Ask(7, order), rpc.Check(8), rpc.Cancel(7), rpc.Ask(9, second)]
+        for parts in pieces(b"".join(map(msgpack.packb, frames))):
+            reader = rpc.Reader(NAMES)
+            self.assertEqual([message for part in parts for message in reader.feed(part)], expected)
+
+    def test_ops_that_are_not_understood_can_be_answered(self) -> None:
+        changes = [{"allow": "soon"}, {"allow": "0"}, {"room": "nan"}, {"room": "-1"}, {"room": "2000"},
+                   {"class_rank": "1"}, {"since": ""}, {"project": "west"}, {"sender": "x"}, {"ref": "short"},
+                   {"since": "9" * 40}, {"ref": 5}]  # fmt: skip
+        frames = [[0, 3, "look", [FIELDS | changed, b""]] for changed in changes]
+        frames += [[0, 3, "sell", [FIELDS, b""]], [0, 3, "look", [{}, b""]], [0, 3, "look", [FIELDS]],
+                   [0, 3, "look", []], [0, 3, "look", [FIELDS, "text"]]]  # fmt: skip
+        for frame in frames:
+            with self.subTest(frame=str(frame)[-60:]):
+                (message,) = rpc.Reader(NAMES).feed(msgpack.packb(frame))
+                self.assertEqual((type(message), message[0]), (rpc.Unclear, 3))
+
+    def test_what_is_no_frame_ends_the_connection(self) -> None:
+        frames = [5, "text", [], [0, "7", "look", [FIELDS, b""]], [2, "dance", [7]], {"a": 1}, [7, 1, 2, 3],
+                  [2, "cancelRequest", []], [0, -1, "look", [FIELDS, b""]],
+                  [0, 1, "look", [FIELDS, b"x" * 2049]],
+                  [0, 1, "look", [FIELDS | {"ref": "x" * 600}, b""]]]  # fmt: skip
+        bytes_ = [b"\xc1", b"GET / HTTP/1.1\r\n\r\n", b"\x94\x00\x01\xa1\xff"]
+        for data in [*map(msgpack.packb, frames), *bytes_]:
+            with self.subTest(data=data[:20]), self.assertRaises(rpc.BadFrame):
+                reader = rpc.Reader(NAMES)
+                for _ in range(40):
+                    reader.feed(data)
+
+    def test_answers(self) -> None:
+        ack, nack, fail = mail.Verdict.ACK, mail.Verdict.NACK, mail.Verdict.FAIL
+        cases = [
+            (mail.Answer(7, ack, b"\xff\x00", 0.25), [1, 7, None, [b"\xff\x00", {"pressure": "0.25"}]]),
+            (mail.Answer(7, ack), [1, 7, None, [b"", {}]]),
+            (mail.Answer(7, nack, wait=0.25, nowhere_else=True),
+             [1, 7, ["Shed", {"cooldown": "250", "nowhere": "1"}], None]),
+            (mail.Answer(7, nack, value=0.0), [1, 7, ["Shed", {"pressure": "0"}], None]),
+            (mail.Answer(7, fail), [1, 7, ["Fault", {}], None]),
+            (mail.Fitness(8, True, 1.5), [1, 8, None, [True, {"pressure": "1.5"}]]),
+            (mail.Leaving(), [2, "leaving", []]),
+        ]  # fmt: skip
+        for what, frame in cases:
+            with self.subTest(what=what):
+                self.assertEqual(msgpack.unpackb(rpc.encode(what)), frame)
+
+    def test_commands_and_notices(self) -> None:
+        """Bodies of any bytes travel as base64; `goon` takes up a paused run and nothing else."""
+        cases = [
+            (mail.Begin("a", 1, b"\x00\xff"),
+             {"event": "begin", "handle": "a", "entry": "buy", "arg": "AP8="}),
+            (mail.Reply("a", b""), {"event": "answer", "handle": "a", "arg": ""}),
+            (mail.Interrupt("a"), {"event": "interrupt", "handle": "a"}),
+            (mail.TakeUp("a"), {"event": "goon", "handle": "a"}),
+            (mail.Gauge(), {"event": "usage", "ticket": "gauges"}),
+        ]  # fmt: skip
+        for command, said in cases:
+            self.assertEqual(orjson.loads(processor.encode(command, ["look", "buy"])), said)
+        cases = [
+            (b'{"event":"hi","fate":"COLD","lasted":1500}', (0, mail.Up(True, 1.5))),
+            (b'{"event":"complete","cursor":3,"handle":"a","fate":"OK","lasted":1,"arg":"AP8="}',
+             (3, mail.Ended("a", Outcome.OK, b"\x00\xff"))),
+            (b'{"event":"complete","cursor":4,"handle":"a","fate":"STOPPED","lasted":1}',
+             (4, mail.Ended("a", Outcome.STOPPED, b""))),
+            (b'{"event":"ask","cursor":5,"handle":"a","arg":"AP8="}', (5, mail.Asked("a", b"\x00\xff"))),
+            (b'{"event":"used","ticket":"gauges","figures":[0.5,3]}', (0, mail.Gauges((0.5, 3.0)))),
+            (b'{"event":"used","ticket":"sync2","figures":[]}', (0, mail.Synced(2))),
+            (b'{"event":"reject","fate":"begin","handle":"a"}', (0, mail.Refused("a", "begin"))),
+            (b'{"event":"remark","cursor":6,"fate":"hm"}', (6, None)),
+        ]  # fmt: skip
+        for line, said in cases:
+            self.assertEqual(processor.decode(line, 2), said)
+        for line in (b"", b"[]", b"{}", b'{"event":"dance"}', b'{"event":"hi"}', b"\xff", b'{"event":"ask"}',
+                     b'{"event":"complete","handle":"a","fate":"WELL"}',
+                     b'{"event":"ask","handle":"a","arg":"!"}'):  # fmt: skip
+            with self.subTest(line=line), self.assertRaises(processor.BadLine):
+                processor.decode(line, 1)
+
+    def test_replies_cut_anywhere(self) -> None:
+        data = b"a ROWS 6\r\nx\r\nb F\r\nb FULL\r\nc ROWS 0\r\n\r\nd NONE\r\ne FAIL\r\nf TIMEOUT\r\n"
+        expected = [database.Back("a", Outcome.OK, b"x\r\nb F"), database.Back("b", Outcome.FULL, b""),
+                    database.Back("c", Outcome.OK, b""), database.Back("d", Outcome.MOOT, b""),
+                    database.Back("e", Outcome.ERROR, b""),
+                    database.Back("f", Outcome.TIMEOUT, b"")]  # fmt: skip
+        for parts in pieces(data):
+            reader = database.Reader()
+            self.assertEqual([back for part in parts for back in reader.feed(part)], expected)
+        for bad in (b"a\r\n", b"a WELL\r\n", b"a ROWS x\r\n", b"a ROWS -2\r\n", b"a ROWS 1 2\r\n",
+                    b"\xff X\r\n", b"a ROWS 1\r\nxyz", b"a" * 70000):  # fmt: skip
+            with self.subTest(bad=bad[:20]), self.assertRaises(database.BadReply):
+                database.Reader().feed(bad)
+        call = mail.Call(REF, 10.25, b"a\r\nb")
+        self.assertEqual(database.encode(call, 10.0), b"Q " + REF.encode() + b" 250 4\r\na\r\nb\r\n")
+
+    def test_log_lines(self) -> None:
+        record = log.logger.makeRecord("t", logging.INFO, "f", 1, "op ended", (), None, extra={
+            "pairs": {"id": "a1", "took": 0.25, "why": 'two "words"\nand=', "none": ""}})  # fmt: skip
+        line = log.KeyValue().format(record)
+        end = 'level=info what="op ended" id=a1 took=0.25 why="two \'words\'\\nand=" none=""'
+        self.assertTrue(line.endswith(end), line)
+
+    def test_start_files(self) -> None:
+        cases = [
+            ("lacks 'listen'", lambda given: given.pop("listen")),
+            ("lacks 'request_classes'", lambda given: given["settings"].pop("request_classes")),
+            ("cannot be used", lambda given: given.update(seed="not hex")),
+            ("cannot be used", lambda given: given.update(db="nowhere")),
+            ("cannot be used", lambda given: given.update(settings=[])),
+        ]
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "start.json"
+            for why, change in cases:
+                change(given := told())
+                path.write_bytes(orjson.dumps(given))
+                with self.subTest(why), self.assertRaisesRegex(start.BadStart, why):
+                    start.read(path)
+            path.write_text("{")
+            with self.assertRaisesRegex(start.BadStart, "not JSON"):
+                start.read(path)
+            with self.assertRaisesRegex(start.BadStart, "cannot be read"):
+                start.read(path / "none")
+            path.write_bytes(orjson.dumps(told()))
+            station, names, given = start.read(path)
+        self.assertEqual((station.stop, str(station.listen)), (2.0, "127.0.0.1:4100"))
+        self.assertEqual((names.op_types, given["machine"].cores), ({"look": 0, "buy": 1}, 2))
+
+
+class Retained(unittest.TestCase):
+    def test_a_repeat_counts_by_when_it_reached_the_machine(self) -> None:
+        """Read late, it is still one; entries outlive their span for that, and then go."""
+        keys = Keys(unread=3.0)
+        keys.keep("a", (1, "k"), end=20.0)
+        keys.over("a", Result(b"r", 11.0))
+        self.assertEqual([keys.find((1, "k"), at) for at in (12.0, 20.0, 20.1)], ["a", "a", None])
+        self.assertEqual([keys.find(key, 12.0) for key in ((0, "k"), (1, "other"))], [None, None])
+        keys.purge(22.9)
+        self.assertEqual(keys.find((1, "k"), 19.0), "a")
+        keys.purge(24.0)
+        self.assertEqual((keys.by_key, keys.by_id), ({}, {}))
+
+    def test_results_and_waits(self) -> None:
+        keys = Keys(1.0)
+        keys.keep("a", (1, "k"), 20.0)
+        self.assertIsNone(keys.repeat("b", "a"))
+        self.assertIsNone(keys.repeat("c", "a"))
+        self.assertEqual(keys.over("a", Result(b"r", 11.0)), ["b", "c"])
+        self.assertEqual(keys.repeat("d", "a"), Result(b"r", 11.0))
+        self.assertEqual(keys.repeat("e", "unknown").body, None)
+        self.assertEqual(keys.over("unknown", Result(None, 11.0)), [])
+
+    def test_a_newer_op_takes_the_key_over(self) -> None:
+        keys = Keys(1.0)
+        keys.keep("a", (1, "k"), 20.0)
+        keys.repeat("waits", "a")
+        keys.keep("b", (1, "k"), 25.0)
+        self.assertEqual(keys.find((1, "k"), 12.0), "b")
+        self.assertEqual(keys.forget("a"), ["waits"])
+        self.assertEqual(keys.find((1, "k"), 12.0), "b")
+        self.assertEqual((keys.forget("b"), keys.find((1, "k"), 12.0)), ([], None))
+
+    def test_an_op_in_hand_outlives_its_span_until_its_end(self) -> None:
+        keys = Keys(1.0)
+        keys.keep("a", (1, "k"), 20.0)
+        keys.repeat("b", "a")
+        keys.purge(30.0)
+        self.assertIsNone(keys.find((1, "k"), 19.0))
+        self.assertEqual(keys.over("a", Result(b"r", 31.0)), ["b"])
+        keys.purge(40.0)
+        self.assertEqual(keys.by_id, {})
+
+    def test_a_read_stands_for_others_while_fresh(self) -> None:
+        keys = Keys(1.0)
+        keys.keep("a", (0, "s"), 90.0, fresh=2.0)
+        self.assertEqual(keys.find((0, "s"), 50.0), "a")
+        keys.over("a", Result(b"r", 51.0))
+        self.assertEqual([keys.find((0, "s"), at) for at in (53.0, 53.1)], ["a", None])
+        keys.keep("b", (0, "t"), 90.0, fresh=2.0)
+        keys.over("b", Result(None, 51.0))
+        self.assertIsNone(keys.find((0, "t"), 51.0))
+
+
+class OnSockets(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        log.counts.clear()
+
+    async def test_one_answer_with_what_its_run_made(self) -> None:
+        async with place() as here:
+            router, body = await here.router(), bytes(range(256)) * 8
+            numbers = [await router.ask("look", body), await router.ask("buy", b"", **KEY)]
+            for number, result in zip(numbers, (body, b""), strict=True):
+                error, (made, fields) = await router.answer(number)
+                self.assertIsNone(error)
+                self.assertEqual(made, b"did " + result + b" with rows for 0 " + result)
+                self.assertLessEqual(set(fields), {"pressure"})
+            self.assertEqual(len(here.processor.begun), 2)
+            while "pressure" not in (await router.answer(await router.check()))[1][1]:
+                await anyio.sleep(0.02)  # said from the module's first beat on
+
+    async def test_repeats_get_the_result_of_the_one_run(self) -> None:
+        """While it runs, in one batch with it, and after its end."""
+        async with place(Processor(held=True)) as here:
+            router = await here.router()
+            first, one = router.frame("buy", b"x", **KEY)
+            second, two = router.frame("buy", b"x", **KEY)
+            await router.stream.send(one + two)
+            await here.processor.until(lambda: here.processor.runs)
+            third = await router.ask("buy", b"x", **KEY)
+            other = await router.ask("buy", b"y", replay="f" * 32)
+            await here.processor.until(lambda: len(here.processor.begun) == 2)
+            for id in here.processor.begun:
+                here.processor.end(id)
+            answers = [await router.answer(number) for number in (first, second, third, other)]
+            answers.append(await router.answer(await router.ask("buy", b"x", **KEY)))
+            self.assertEqual([error for error, _ in answers], [None] * 5)
+            self.assertEqual(len({result[0] for _, result in answers}), 2)
+            self.assertEqual(len(here.processor.begun), 2)
+
+    async def test_a_failed_run_fails_its_repeats(self) -> None:
+        async with place(database=Database("FAIL")) as here:
+            router = await here.router()
+            numbers = [await router.ask("buy", b"x", **KEY) for _ in range(2)]
+            for number in [*numbers, await router.ask("buy", b"x", **KEY)]:
+                self.assertEqual((await router.answer(number))[0][0], "Fault")
+            self.assertEqual(len(here.processor.begun), 1)
+
+    async def test_callers_that_go(self) -> None:
+        """A cancel and a reset tell that nobody waits; an end of input alone does not."""
+        async with place(Processor(calls=0, held=True)) as here:
+            left, reset, halved = [await here.router() for _ in range(3)]
+            number = await left.ask("look")
+            await here.processor.until(lambda: len(here.processor.begun) == 1)
+            await left.cancel(number)
+            await here.processor.until(lambda: here.processor.heard[-1]["event"] == "interrupt")
+            await reset.ask("look")
+            await here.processor.until(lambda: len(here.processor.begun) == 2)
+            await reset.reset()
+            stopped = here.processor.begun[:2]
+            await here.processor.until(lambda: {said["handle"] for said in here.processor.heard
+                                                if said["event"] == "interrupt"} == set(stopped))  # fmt: skip
+            number = await halved.ask("look", b"x")
+            await here.processor.until(lambda: len(here.processor.begun) == 3)
+            await halved.stream.send_eof()
+            here.processor.end(here.processor.begun[2])
+            self.assertIsNone((await halved.answer(number))[0])
+            await halved.until(lambda: halved.closed)
+            self.assertEqual((left.answers, log.counts["gone"]), ({}, 2))
+
+    async def test_bad_input_ends_its_own_connection_alone(self) -> None:
+        async with place() as here:
+            good, bad, twice, unclear = [await here.router() for _ in range(4)]
+            await bad.stream.send(b"\xc1\xc1")
+            await bad.until(lambda: bad.closed)
+            _, frame = twice.frame("look", ref="a" * 16, allow="9000")
+            await twice.stream.send(frame + frame)
+            await twice.until(lambda: twice.closed)
+            error, _ = await unclear.answer(await unclear.ask("sell"))
+            self.assertEqual(error[0], "Shed")
+            self.assertIsNone((await unclear.answer(await unclear.ask("look")))[0])
+            self.assertIsNone((await good.answer(await good.ask("look")))[0])
+
+    async def test_no_more_than_32_open_and_no_id_twice(self) -> None:
+        async with place(Processor(held=True)) as here:
+            router, other = await here.router(), await here.router()
+            first = await router.ask("look", ref="b" * 16)
+            again = await other.ask("look", ref="b" * 16)
+            self.assertEqual((await other.answer(again))[0][0], "Shed")
+            numbers = [await router.ask("buy", replay=f"{at:032x}") for at in range(31)]
+            self.assertEqual((await router.answer(await router.ask("look")))[0][0], "Shed")
+            await router.cancel(first)
+            await here.processor.until(lambda: here.processor.heard[-1]["event"] == "interrupt")
+            self.assertTrue(set(router.answers).isdisjoint(numbers[:1]))
+
+    async def test_health_is_good_before_the_processor_is_up(self) -> None:
+        async with place() as here:
+            router = await here.router()
+            self.assertEqual((await router.answer(await router.check()))[1][0], True)
+        slow = Processor()
+        slow.up = anyio.Event()
+        async with anyio.create_task_group() as tasks:
+            for around in (slow, base := Database(), names := Roster()):
+                await tasks.start(around.run)
+            here = Place(tasks, slow, base, names)
+            await here.serve({})
+            router = await here.router()
+            self.assertEqual(await router.answer(await router.check()), (None, [True, {}]))
+            self.assertEqual((await router.answer(await router.ask("look")))[0][0], "Shed")
+            slow.up.set()
+            await slow.until(lambda: slow.heard[-1].get("ticket") == "gauges")
+            self.assertIsNone((await router.answer(await router.ask("look")))[0])
+            tasks.cancel_scope.cancel()
+
+    async def test_a_link_cut_in_the_middle_of_runs(self) -> None:
+        """What ended meanwhile is told first; nothing runs twice and nothing is lost."""
+        async with place(Processor(held=True)) as here:
+            router, work = await here.router(), here.processor
+            numbers = [await router.ask("look", b"a"), await router.ask("buy", b"b", **KEY)]
+            await work.until(lambda: len(work.begun) == 2 and not work.replies)
+            work.streams, streams = [], work.streams
+            work.end(work.begun[0])  # its notice finds no link
+            await work.until(lambda: len(work.runs) == 1)
+            for stream in streams:
+                await anyio.aclose_forcefully(stream)
+            await work.until(lambda: work.heard[-1].get("ticket") == "gauges" and work.streams)
+            numbers.append(await router.ask("look", b"c"))
+            await work.until(lambda: len(work.begun) == 3)
+            for id in work.begun:
+                work.end(id)
+            for number in numbers:
+                self.assertIsNone((await router.answer(number))[0])
+            begins = [said["handle"] for said in work.heard if said["event"] == "begin"]
+            self.assertEqual((len(work.begun), begins.count(work.begun[0])), (3, 1))
+            self.assertEqual(sum(said["event"] == "hello" for said in work.heard), 2)
+
+    async def test_a_command_lost_with_its_link_is_sent_again(self) -> None:
+        async with place(Processor(calls=0)) as here:
+            router = await here.router()
+            hello = next(said for said in here.processor.heard if said["event"] == "hello")
+            self.assertEqual(hello["cursor"], 0)
+            with mock.patch.object(processor, "encode", lambda command, _: b"\n" * bool(command) * 0):
+                number = await router.ask("look", b"a")  # its begin is swallowed
+                await anyio.sleep(0)
+                with anyio.fail_after(5):
+                    while log.counts["ops"] < 1:
+                        await anyio.sleep(0.005)
+                await anyio.sleep(0.02)
+            await here.processor.cut()
+            self.assertIsNone((await router.answer(number))[0])
+
+    async def test_what_ends_of_calls_prove(self) -> None:
+        """A keyed op's call is made again only where it is known not to have run."""
+        for word, times in (("FULL", 4), ("NONE", 4), ("FAIL", 1), ("TIMEOUT", 1)):
+            with self.subTest(word):
+                async with place(database=Database(word)) as here:
+                    router = await here.router()
+                    error, _ = await router.answer(await router.ask("buy", b"x", allow="2900", **KEY))
+                    self.assertEqual((error[0], len(here.database.heard)), ("Fault", times))
+
+    async def test_a_database_that_refuses_or_breaks(self) -> None:
+        async with place(database=Database(None)) as here:
+            router = await here.router()
+            number = await router.ask("buy", b"x", **KEY)
+            await here.database.until(lambda: here.database.heard)
+            await here.database.cut()  # proves nothing: not made again
+            self.assertEqual((await router.answer(number))[0][0], "Fault")
+            self.assertEqual((log.counts["call_cut"], len(here.database.heard)), (1, 1))
+        async with place(db="127.0.0.1:1") as here:
+            router = await here.router()
+            self.assertEqual((await router.answer(await router.ask("buy", b"x", **KEY)))[0][0], "Fault")
+            self.assertEqual(log.counts["call_unreached"], 4)
+
+    async def test_a_silent_call_is_given_up_and_the_op_answered_in_time(self) -> None:
+        async with place(database=Database(None)) as here:
+            router, began = await here.router(), time.time()
+            error, _ = await router.answer(await router.ask("buy", b"x", allow="500", **KEY))
+            self.assertEqual(error[0], "Fault")
+            self.assertLess(time.time() - began, 0.6)
+            await here.database.until(lambda: here.database.heard[-1].startswith("X"))
+
+    async def test_a_time_out_does_not_cut_a_call_that_is_being_sent(self) -> None:
+        """Moments of calls long answered pass while another is sent; it once stayed out though never sent."""
+        inbox, _events = anyio.create_memory_object_stream[mail.Event](8)
+        base, sent = database.Database(start.Address("127.0.0.1", 1), inbox), []
+
+        class Slow:
+            async def send(self, data: bytes) -> None:
+                await anyio.sleep(0.03)
+                sent.append(data)
+
+        base.stream, base.used = Slow(), time.time()
+        base.ends = [(time.time() + 0.02, "answered")]
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(base.run)
+            base.tell(mail.Call("a", time.time() + 9, b"x"))
+            await anyio.sleep(0.06)
+            tasks.cancel_scope.cancel()
+        self.assertEqual(len(sent), 1)
+
+    async def test_an_idle_database_connection_is_closed_here(self) -> None:
+        with mock.patch.object(database, "IDLE", 0.05):
+            async with place() as here:
+                router = await here.router()
+                for _ in range(2):
+                    self.assertIsNone((await router.answer(await router.ask("look")))[0])
+                    await here.database.until(lambda: not here.database.streams)
+
+    async def test_reports_to_the_list(self) -> None:
+        with mock.patch("thymeyoke.net.roster.PERIOD", 0.02):
+            async with place(roster=Roster(500)) as here:
+                await here.roster.until(lambda: len(here.roster.reports) > 2)
+                here.roster.status = 204
+                await here.roster.until(lambda: log.counts["reports"] > 2 or None)
+                await here.roster.cut()
+                router = await here.router()
+                self.assertIsNone((await router.answer(await router.ask("look")))[0])
+                os.kill(os.getpid(), signal.SIGTERM)
+                await here.roster.until(lambda: here.roster.reports[-1] == ("/ns/hosts/toy-1", "no"))
+
+    async def test_a_drain_answers_all_and_ends_in_time(self) -> None:
+        async with place(Processor(held=True)) as here:
+            busy, idle = await here.router(), await here.router()
+            numbers = [await busy.ask("look", b"x"), await busy.ask("buy", b"x", **KEY)]
+            await here.processor.until(lambda: len(here.processor.begun) == 2)
+            self.assertEqual((await idle.answer(await idle.check()))[1][0], True)
+            began = time.time()
+            os.kill(os.getpid(), signal.SIGTERM)
+            for router in (busy, idle):
+                await router.until(lambda router=router: router.notices == ["leaving"])
+            with self.assertRaises(OSError):
+                await here.router()
+            here.processor.end(here.processor.begun[0])
+            self.assertIsNone((await busy.answer(numbers[0]))[0])
+            self.assertEqual((await busy.answer(numbers[1]))[0][0], "Fault")  # its run never ends
+            with anyio.fail_after(2):
+                await here.ended.wait()
+            self.assertTrue(1.5 < time.time() - began < 2.0)
+
+    async def test_a_server_that_nobody_uses_leaves_at_once(self) -> None:
+        async with place() as here:
+            router = await here.router()
+            self.assertIsNone((await router.answer(await router.ask("look")))[0])
+            began = time.time()
+            os.kill(os.getpid(), signal.SIGTERM)
+            await router.until(lambda: router.notices)
+            await router.stream.aclose()
+            with anyio.fail_after(2):
+                await here.ended.wait()
+            self.assertLess(time.time() - began, 0.5)
+
+    async def test_an_unused_connection_is_told_and_closed(self) -> None:
+        with mock.patch.object(front, "GRACE", 0.1):
+            async with place(settings__family_info__idle_us=200000) as here:
+                unused, used = await here.router(), await here.router()
+                number = await used.ask("look", allow="9000")
+                await unused.until(lambda: unused.notices == ["leaving"])
+                self.assertIsNone((await used.answer(number))[0])
+                await unused.until(lambda: unused.closed)
+
+    async def test_a_reader_that_stalls_is_closed_alone(self) -> None:
+        inbox, _events = anyio.create_memory_object_stream[mail.Event](8)
+
+        class Stalled:
+            async def send(self, data: bytes) -> None:
+                await anyio.sleep_forever()
+
+            async def receive(self, most: int) -> bytes:
+                await anyio.sleep_forever()
+                return b""
+
+            async def aclose(self) -> None:
+                pass
+
+        connection = front.Connection(Stalled(), NAMES, inbox)
+        with anyio.fail_after(2):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(connection.run)
+                for _ in range(2 * front.OUTBOX + 2):
+                    connection.tell(mail.Answer(1, mail.Verdict.ACK))
+        self.assertGreater(log.counts["outbox_full"], 0)
+
+    async def test_an_error_in_the_decisions_leaves_due_answers(self) -> None:
+        """Counted and logged with its place, as in service; the next op is answered as ever."""
+        with mock.patch.object(desk, "holds", lambda true, what, **_: true):
+            async with place() as here:
+                router = await here.router()
+                with mock.patch.object(Choice, "take", side_effect=RuntimeError("broken")):
+                    began = time.time()
+                    error, _ = await router.answer(await router.ask("look", allow="100"))
+                    self.assertEqual(error[0], "Fault")
+                    self.assertLess(time.time() - began, 0.25)
+                woke = mock.patch.object(Choice, "woke", side_effect=RuntimeError("broken"))
+                with woke, anyio.fail_after(2):
+                    while log.counts["desk_error"] < 3:
+                        await anyio.sleep(0.01)
+                self.assertIsNone((await router.answer(await router.ask("look")))[0])
+
+    async def test_no_descriptor_is_met_by_a_pause(self) -> None:
+        async with place(limits__sockets=front.SPARE_DESCRIPTORS + 2) as here:
+            first, second = await here.router(), await here.router()
+            for router in (first, second):
+                self.assertIsNone((await router.answer(await router.ask("look")))[0])
+            waiting = await here.router()
+            number = await waiting.ask("look")
+            await anyio.aclose_forcefully(first.stream)
+            self.assertIsNone((await waiting.answer(number))[0])
+
+    async def test_a_broken_line_drops_the_link_only(self) -> None:
+        async with place() as here:
+            router = await here.router()
+            await here.processor.streams[-1].send(b"dance\n")
+            await here.processor.until(
+                lambda: sum(said["event"] == "hello" for said in here.processor.heard) == 2)  # fmt: skip
+            self.assertIsNone((await router.answer(await router.ask("look")))[0])
+            self.assertEqual(log.counts["processor_bad_line"], 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/thymeyoke/net/desk.py
+++ b/thymeyoke/net/desk.py
@@ -107,6 +107,10 @@
         self.front, self.processor, self.database, self.roster = front, processor, database, roster
 
     async def run(self) -> None:
+        with self.events:
+            await self._run()
+
+    async def _run(self) -> None:
         while not self.done:
             batch = await self._collect()
             now = clock()
@@ -118,7 +122,6 @@
                 self.next_counts = now + COUNTS_PERIOD
                 self.tell_counts()
         await anyio.sleep(FAREWELL)
-        self.events.close()
 
     def tell_counts(self) -> None:
         log.say(logging.INFO, "counts", in_hand=len(self.slips), kept=len(self.keys.by_id), **log.counts)
--- a/thymeyoke/net/front.py
+++ b/thymeyoke/net/front.py
@@ -69,6 +69,7 @@
             log.say(logging.ERROR, "connection ends", error)
         finally:
             self.unsent.close()
+            self.outbox.close()
             with anyio.CancelScope(shield=True):
                 lost, self.open = list(self.open.values()), {}
                 for id in lost:
@@ -158,9 +159,9 @@
         assert self.listener is not None
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._trim)
-            with self.accepting:
-                await self._accept(tasks, self.listener)
-            await self.listener.aclose()
+            async with self.listener:
+                with self.accepting:
+                    await self._accept(tasks, self.listener)
 
     async def _accept(self, tasks: TaskGroup, listener: SocketListener) -> None:
         while True:
--- a/thymeyoke/net/processor.py
+++ b/thymeyoke/net/processor.py
@@ -118,8 +118,9 @@
             except Exception as error:
                 log.counts["processor_error"] += 1
                 log.say(logging.ERROR, "processor link ends", error)
+            finally:
+                await anyio.aclose_forcefully(stream)
             log.counts["processor_links_lost"] += 1
-            await anyio.aclose_forcefully(stream)
             await post(self.desk, Down())
             await anyio.sleep(pause)
 
