--- a/thymeyoke/net/database.py
+++ b/thymeyoke/net/database.py
@@ -110,7 +110,7 @@
             while True:
                 now = clock()
                 moment = self.ends[0][0] if self.ends else now + IDLE
-                if self.stream:
+                if self.stream and not self.out:
                     moment = min(moment, self.used + IDLE)
                 what = None
                 with anyio.move_on_after(max(0.0, moment - now)):
@@ -136,9 +136,18 @@
         self.out[what.id] = Out(what.until, now)
         heappush(self.ends, (what.until, what.id))
         if self.stream is None and not await self._open(tasks):
-            return await self._over(what.id, Outcome.UNREACHED)
+            return await self._unreached()
         await self._send(encode(what, now))
 
+    async def _unreached(self) -> None:
+        """What waits behind a failed connect is not made to wait for as many more."""
+        while self.unsent.statistics().current_buffer_used:
+            what = self.unsent.receive_nowait()
+            if isinstance(what, Call):
+                self.out[what.id] = Out(what.until, clock())
+        for id in list(self.out):
+            await self._over(id, Outcome.UNREACHED)
+
     async def _open(self, tasks: TaskGroup) -> bool:
         try:
             with anyio.fail_after(CONNECT):
