Commands to the processor wait for hi: one that is not up carries none out

The servers of the first start did not show it, as their processors were up before them. At fault: processor.py, Processor._live sent the request for the gauges, whose answer lets commands out, right behind hello; a processor that is not up rejects it, and no answer ever came. It now goes out on hi; the notices missed still come before. Ruled out: coldness (up cold=True age=0 as it should be), the drain itself (answered all, ended by itself).

--- a/examples/standins.py
+++ b/examples/standins.py
@@ -93,9 +93,10 @@
             self.heard.append(said)
             match said["event"]:
                 case "hello":
-                    await self.up.wait()
-                    hi = orjson.dumps({"event": "hi", "fate": "WARM", "lasted": 0}) + b"\n"
-                    await self._send(stream, b"".join([hi, *self.notices[said["cursor"] :]]))
+                    self.tasks.start_soon(self._greet, stream, said["cursor"])
+                case "usage" if not self.up.is_set():
+                    no = {"event": "reject", "fate": "usage", "handle": said["ticket"]}
+                    await self._send(stream, orjson.dumps(no) + b"\n")
                 case "usage":
                     used = {"event": "used", "ticket": said["ticket"], "figures": [0, len(self.runs), 0, 1]}
                     await self._send(stream, orjson.dumps(used) + b"\n")
@@ -109,6 +110,12 @@
                         scope.cancel()
             self._changes()
 
+    async def _greet(self, stream: SocketStream, cursor: int) -> None:
+        await self.up.wait()
+        hi = orjson.dumps({"event": "hi", "fate": "WARM", "lasted": 0}) + b"\n"
+        with suppress(*LOST):
+            await self._send(stream, b"".join([hi, *self.notices[cursor:]]))
+
     async def _send(self, stream: SocketStream, data: bytes) -> None:
         async with self.sending:
             await stream.send(data)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -314,7 +314,9 @@
             await here.processor.until(lambda: here.processor.heard[-1]["event"] == "interrupt")
             self.assertTrue(set(router.answers).isdisjoint(numbers[:1]))
 
-    async def test_health_is_good_before_the_processor_is_up(self) -> None:
+    async def test_before_the_processor_is_up(self) -> None:
+        """Health is good, ops are turned away, and no command goes out: one sent then is not carried out, and
+        a link once waited for good for the answer to it."""
         async with place() as here:
             router = await here.router()
             self.assertEqual((await router.answer(await router.check()))[1][0], True)
--- a/thymeyoke/net/mail.py
+++ b/thymeyoke/net/mail.py
@@ -172,6 +172,8 @@
 class Gauge(NamedTuple):
     """Ask for the gauges."""
 
+    ticket: str = "gauges"
+
 
 class Call(NamedTuple):
     id: str
--- a/thymeyoke/net/processor.py
+++ b/thymeyoke/net/processor.py
@@ -37,7 +37,7 @@
 CHUNK = 1 << 16
 LINE_LIMIT = 1 << 16
 FIRST_PAUSE, LAST_PAUSE = 0.02, 0.5  # between tries to connect
-SYNC, GAUGES = "sync", "gauges"
+SYNC = "sync"  # the ticket, with the link's number behind it
 
 
 class BadLine(Exception):
@@ -54,8 +54,8 @@
             said = {"event": "interrupt", "handle": id}
         case TakeUp(id):
             said = {"event": "goon", "handle": id}
-        case Gauge():
-            said = {"event": "usage", "ticket": GAUGES}
+        case Gauge(ticket):
+            said = {"event": "usage", "ticket": ticket}
     return orjson.dumps(said) + b"\n"
 
 
@@ -130,8 +130,7 @@
         with anyio.CancelScope() as self.scope:
             async with anyio.create_task_group() as tasks:
                 hello = orjson.dumps({"event": "hello", "cursor": self.cursor})
-                sync = orjson.dumps({"event": "usage", "ticket": f"{SYNC}{self.link}"})
-                await stream.send(hello + b"\n" + sync + b"\n")
+                await stream.send(hello + b"\n")
                 tasks.start_soon(self._write, stream)
                 await self._read(stream)
                 self.scope.cancel()
@@ -167,5 +166,7 @@
             if cursor <= self.cursor:  # told before
                 return
             self.cursor = cursor
+        if isinstance(event, Up):  # no sooner: a processor that is not up carries out no command
+            self.tell(Gauge(f"{SYNC}{self.link}"))
         if event is not None:
             await post(self.desk, event)
