A drain ends clear of the stop; actors close what they hold at their end

On reading: the process ended 40 ms before it would be killed, interpreter's end not counted; with all answered it now ends 150 ms before. The database's and the list's connections were left open when their actors were cancelled (warnings in tests).

--- a/examples/standins.py
+++ b/examples/standins.py
@@ -217,18 +217,21 @@
         return router
 
     async def _read(self) -> None:
-        with suppress(*LOST):
-            while True:
-                self.unpacker.feed(await self.stream.receive())
-                for frame in self.unpacker:
-                    if frame[0] == 1:
-                        assert frame[1] not in self.answers, "answered twice"
-                        self.answers[frame[1]] = (frame[2], frame[3])
-                    else:
-                        self.notices.append(frame[1])
-                self._changes()
-        self.closed = True
-        self._changes()
+        try:
+            with suppress(*LOST):
+                while True:
+                    self.unpacker.feed(await self.stream.receive())
+                    for frame in self.unpacker:
+                        if frame[0] == 1:
+                            assert frame[1] not in self.answers, "answered twice"
+                            self.answers[frame[1]] = (frame[2], frame[3])
+                        else:
+                            self.notices.append(frame[1])
+                    self._changes()
+        finally:
+            self.closed = True
+            self._changes()
+            await anyio.aclose_forcefully(self.stream)
 
     def _changes(self) -> None:
         self.changed.set()
--- a/thymeyoke/net/database.py
+++ b/thymeyoke/net/database.py
@@ -106,18 +106,26 @@
         return True
 
     async def run(self) -> None:
-        async with anyio.create_task_group() as tasks:
-            while True:
-                now = clock()
-                moment = self.ends[0][0] if self.ends else now + IDLE
-                if self.stream and not self.out:
-                    moment = min(moment, self.used + IDLE)
-                what = None
-                with anyio.move_on_after(max(0.0, moment - now)):
-                    what = await self.unsent.receive()
-                if what is not None:  # outside the scope: the time-out would cut a call that is being sent
-                    await self._make(tasks, what)
-                await self._pass(clock())
+        try:
+            async with anyio.create_task_group() as tasks:
+                await self._run(tasks)
+        finally:
+            if self.stream:
+                stream, self.stream = self.stream, None
+                await anyio.aclose_forcefully(stream)
+
+    async def _run(self, tasks: TaskGroup) -> None:
+        while True:
+            now = clock()
+            moment = self.ends[0][0] if self.ends else now + IDLE
+            if self.stream and not self.out:
+                moment = min(moment, self.used + IDLE)
+            what = None
+            with anyio.move_on_after(max(0.0, moment - now)):
+                what = await self.unsent.receive()
+            if what is not None:  # outside the scope: the time-out would cut a call that is being sent
+                await self._make(tasks, what)
+            await self._pass(clock())
 
     async def _make(self, tasks: TaskGroup, what: Call | GiveUp) -> None:
         try:
--- a/thymeyoke/net/desk.py
+++ b/thymeyoke/net/desk.py
@@ -61,7 +61,8 @@
 INBOX = 4096
 GAUGE_LEAD = 0.02  # gauges are asked for this long before the module wakes: its timers never wait for them
 LEAST_LEFT = 0.001  # 0 would mean that the time left is not told
-STOP_MARGIN = 0.1  # the process ends this long before it would be killed
+STOP_MARGIN = 0.15  # with all answered, the process ends this long before it would be killed
+LAST_MARGIN = 0.1  # by now all is answered, whatever the module says
 FAREWELL = 0.06  # an op may cross a close for 50 ms: after the last answer the process stays this long
 COUNTS_PERIOD = 10.0
 
@@ -121,7 +122,7 @@
             if now >= self.next_counts:
                 self.next_counts = now + COUNTS_PERIOD
                 self.tell_counts()
-        await anyio.sleep(FAREWELL)
+            await anyio.sleep(FAREWELL if clock() < self.leave_at - STOP_MARGIN else FAREWELL / 4)
 
     def tell_counts(self) -> None:
         log.say(logging.INFO, "counts", in_hand=len(self.slips), kept=len(self.keys.by_id), **log.counts)
@@ -131,7 +132,8 @@
         moments = [self.next_counts]
         moments += [heap[0][0] for heap in (self.timers, self.dues) if heap]
         if self.leave_at < float("inf"):
-            moments.append(self.leave_at - STOP_MARGIN)
+            margin = LAST_MARGIN if self.unanswered else STOP_MARGIN
+            moments.append(self.leave_at - margin)
         batch: list[Event] = []
         with anyio.move_on_after(max(0.0, min(moments) - clock())):
             batch.append(await self.events.receive())
@@ -293,7 +295,7 @@
                     raise
         while self.dues and self.dues[0][0] <= now:
             self._last_resort(now, heappop(self.dues)[1])
-        if now >= self.leave_at - STOP_MARGIN:
+        if now >= self.leave_at - LAST_MARGIN:
             for id in list(self.slips):
                 self._last_resort(now, id)
         left = self.leave_at < float("inf")
--- a/thymeyoke/net/roster.py
+++ b/thymeyoke/net/roster.py
@@ -38,6 +38,12 @@
             log.counts["roster_outbox_full"] += 1
 
     async def run(self) -> None:
+        try:
+            await self._run()
+        finally:
+            await self._close()
+
+    async def _run(self) -> None:
         while True:
             try:
                 with anyio.fail_after(TIMEOUT):
