The pause at the end of a drain no longer stands in the loop of the module's actor

At fault: desk.py, Desk._run of: the sleep meant for the end of a drain stood one level too deep, so that every batch waited 60 ms for it. The tests passed, only slower; a case for the pace of the desk now fails with it.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -240,6 +240,15 @@
             while "pressure" not in (await router.answer(await router.check()))[1][1]:
                 await anyio.sleep(0.02)  # said from the module's first beat on
 
+    async def test_the_desk_waits_for_nothing_but_its_mailbox(self) -> None:
+        """A pause meant for the end of a drain once stood in its loop, and each batch waited for it."""
+        async with place() as here:
+            router = await here.router()
+            began = time.time()
+            for _ in range(40):
+                await router.answer(await router.check())
+            self.assertLess(time.time() - began, 40 * desk.FAREWELL / 2)
+
     async def test_repeats_get_the_result_of_the_one_run(self) -> None:
         """While it runs, in one batch with it, and after its end."""
         async with place(Processor(held=True)) as here:
--- a/thymeyoke/net/desk.py
+++ b/thymeyoke/net/desk.py
@@ -110,6 +110,7 @@
     async def run(self) -> None:
         with self.events:
             await self._run()
+            await anyio.sleep(FAREWELL if clock() < self.leave_at - STOP_MARGIN else FAREWELL / 4)
 
     async def _run(self) -> None:
         while not self.done:
@@ -122,7 +123,6 @@
             if now >= self.next_counts:
                 self.next_counts = now + COUNTS_PERIOD
                 self.tell_counts()
-            await anyio.sleep(FAREWELL if clock() < self.leave_at - STOP_MARGIN else FAREWELL / 4)
 
     def tell_counts(self) -> None:
         log.say(logging.INFO, "counts", in_hand=len(self.slips), kept=len(self.keys.by_id), **log.counts)
