A broken invariant with a place no longer ends the server

Seen on trying the toy as a new user: 'send' a few times over ended the program. Its ids began anew with each process, so that the moment of an op long answered counted as the due time of another (desk.py, Desk._pass); and the report of that in Desk._guarded handed 'error' to the log twice, an AttributeError that would have ended a server under python -O as well, on any error in the decisions. The test of such errors had put a stand-in in the place of the check; it now counts with the real one and fails without the change. The toy's ids and keys are new with every process.

--- a/examples/standins.py
+++ b/examples/standins.py
@@ -12,6 +12,7 @@
 from base64 import b64decode, b64encode
 from collections.abc import Callable
 from contextlib import suppress
+from os import urandom
 from socket import SO_LINGER, SOL_SOCKET
 from typing import Any
 
@@ -201,7 +202,7 @@
 class Router:
     """One router connection to an app server."""
 
-    ids = itertools.count(1)
+    ids = itertools.count(int.from_bytes(urandom(6)) + 1)  # new with every try, of whatever process
 
     def __init__(self, stream: SocketStream) -> None:
         self.stream, self.numbers = stream, itertools.count(1)
--- a/examples/toy.py
+++ b/examples/toy.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from pathlib import Path
+from secrets import token_hex
 
 import anyio
 import click
@@ -56,7 +57,7 @@
             types = list(names.op_types)
             tenant = {"project": next(iter(names.tenants))} if names.tenants else {}
             sent = [
-                (await router.ask(types[at % len(types)], b"op %d" % at, replay=f"{at:032x}", **tenant), at)
+                (await router.ask(types[at % len(types)], b"op %d" % at, replay=token_hex(16), **tenant), at)
                 for at in range(ops)
             ]
             for number, at in sent:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -8,6 +8,7 @@
 import tempfile
 import time
 import unittest
+from contextlib import suppress
 from pathlib import Path
 from unittest import mock
 
@@ -19,7 +20,7 @@
 from tests.server import Place, place, told
 from thymeyoke import start
 from thymeyoke.choice import Choice
-from thymeyoke.net import database, desk, front, log, mail, processor, rpc
+from thymeyoke.net import database, desk, front, invariants, log, mail, processor, rpc
 from thymeyoke.net.keys import Keys, Result
 from thymeyoke.port.facts import Outcome
 
@@ -521,7 +522,12 @@
 
     async def test_an_error_in_the_decisions_leaves_due_answers(self) -> None:
         """Counted and logged with its place, as in service; the next op is answered as ever."""
-        with mock.patch.object(desk, "holds", lambda true, what, **_: true):
+        def counted(true: bool, what: str, **pairs: object) -> bool:
+            with suppress(AssertionError):
+                invariants.holds(true, what, **pairs)
+            return true
+
+        with mock.patch.object(desk, "holds", counted):
             async with place() as here:
                 router = await here.router()
                 with mock.patch.object(Choice, "take", side_effect=RuntimeError("broken")):
@@ -531,10 +537,24 @@
                     self.assertLess(time.time() - began, 1.0)
                 woke = mock.patch.object(Choice, "woke", side_effect=RuntimeError("broken"))
                 with woke, anyio.fail_after(2):
-                    while log.counts["desk_error"] < 3:
+                    while log.counts["broken_no_desk_error"] < 3:
                         await anyio.sleep(0.01)
                 self.assertIsNone((await router.answer(await router.ask("look")))[0])
 
+    async def test_an_id_used_again_is_answered_and_no_false_alarm(self) -> None:
+        """Ids are new with every try; where one is not, the moment of the op that had it before once counted
+        as the due time of the next."""
+        async with place(Processor(calls=0)) as here:
+            router = await here.router()
+            await router.answer(await router.ask("look", ref="c" * 16, allow="300"))
+            await anyio.sleep(0.25)  # the decisions have let go of the first one's moment by now
+            here.processor.held = True
+            number = await router.ask("look", ref="c" * 16)
+            await here.processor.until(lambda: len(here.processor.begun) == 2)
+            await anyio.sleep(0.3)
+            here.processor.end("c" * 16)
+            self.assertIsNone((await router.answer(number))[0])
+
     async def test_no_descriptor_is_met_by_a_pause(self) -> None:
         async with place(limits__sockets=front.SPARE_DESCRIPTORS + 2) as here:
             first, second = await here.router(), await here.router()
--- a/thymeyoke/net/desk.py
+++ b/thymeyoke/net/desk.py
@@ -72,6 +72,7 @@
 
     def __init__(self, asker: Asker, number: int, order: Order, key: Key | None) -> None:
         self.asker, self.number, self.order, self.key = asker, number, order, key
+        self.due = order.since + order.patience
         self.answered = self.begun = self.over = self.paused = self.calling = False
         self.repeats: str | None = None
         self.command: Command | None = None  # the last to the processor, until known to have come through
@@ -148,7 +149,7 @@
         except Exception as error:
             log.counts["desk_error"] += 1
             log.say(logging.ERROR, "desk error", error)
-            holds(False, "no_desk_error", error=log.place(error))
+            holds(False, "no_desk_error", place=log.place(error))
 
     # What is heard.
 
@@ -201,8 +202,7 @@
         slip = self.slips[order.id] = Slip(asker, number, order, key)
         self.unanswered += 1
         log.counts["ops"] += 1
-        due = order.since + order.patience
-        heappush(self.dues, (max(now, due) + self.duty.answer_slack, order.id))
+        heappush(self.dues, (max(now, slip.due) + self.duty.answer_slack, order.id))
         # Two tries in one batch know each other though the earlier is not retained yet.
         if key:
             slip.repeats = self.keys.find(key, order.since) or self.fresh_keys.get(key)
@@ -210,9 +210,9 @@
         self.yoke.take(now, facts.Op(
             id=order.id, type=order.type, tenant=order.tenant, size=order.size, subject=order.subject,
             hint=0.0, further=False, write=kind.repeat is not Repeat.RETRYABLE, repeats=slip.repeats,
-            prio=order.prio, left=max(LEAST_LEFT, due - now), caller=order.caller,
+            prio=order.prio, left=max(LEAST_LEFT, slip.due - now), caller=order.caller,
             unread=max(0.0, now - order.since)))  # fmt: skip
-        log.say(logging.DEBUG, "op", id=slip.order.id, type=order.type, left=due - now)
+        log.say(logging.DEBUG, "op", id=slip.order.id, type=order.type, left=slip.due - now)
 
     def _gone(self, now: float, id: str) -> None:
         slip = self.slips.get(id)
@@ -294,7 +294,9 @@
                     self._wake(now, act.Wake(mark, self.duty.answer_slack))
                     raise
         while self.dues and self.dues[0][0] <= now:
-            self._last_resort(now, heappop(self.dues)[1])
+            moment, id = heappop(self.dues)
+            if (slip := self.slips.get(id)) and slip.due <= moment:
+                self._last_resort(now, id)
         if now >= self.leave_at - LAST_MARGIN:
             for id in list(self.slips):
                 self._last_resort(now, id)
@@ -331,7 +333,7 @@
             except Exception as error:
                 log.counts["desk_error"] += 1
                 log.say(logging.ERROR, "settle failed", error)
-                holds(False, "no_desk_error", error=log.place(error))
+                holds(False, "no_desk_error", place=log.place(error))
             for action in actions:
                 self._guarded(self._carry_out, now, action)
             for command in self.late:
