--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -565,6 +565,20 @@
             await anyio.aclose_forcefully(first.stream)
             self.assertIsNone((await waiting.answer(number))[0])
 
+    async def test_notices_cut_anywhere(self) -> None:
+        """And what was told before, with its number, is not told again."""
+        ask, used = b'{"event":"ask","cursor":1,"handle":"a","arg":"AP8="}\n', b'{"event":"used","figures":[1]}\n'
+        lines = ask + used + ask
+        for parts in pieces(lines):
+            inbox, events = anyio.create_memory_object_stream[mail.Event](8)
+            link = processor.Processor(start.Address("127.0.0.1", 1), NAMES, inbox)
+            stream = mock.Mock(receive=mock.AsyncMock(side_effect=[*parts, anyio.EndOfStream]))
+            await link._read(stream)
+            heard = [events.receive_nowait() for _ in range(events.statistics().current_buffer_used)]
+            self.assertEqual(heard, [mail.Asked("a", b"\x00\xff"), mail.Gauges((1.0,))])
+            for mailbox in (inbox, events, link.outbox, link.unsent):
+                mailbox.close()
+
     async def test_a_broken_line_drops_the_link_only(self) -> None:
         async with place() as here:
             router = await here.router()
