--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -567,7 +567,8 @@
 
     async def test_notices_cut_anywhere(self) -> None:
         """And what was told before, with its number, is not told again."""
-        ask, used = b'{"event":"ask","cursor":1,"handle":"a","arg":"AP8="}\n', b'{"event":"used","figures":[1]}\n'
+        ask = b'{"event":"ask","cursor":1,"handle":"a","arg":"AP8="}\n'
+        used = b'{"event":"used","figures":[1]}\n'
         lines = ask + used + ask
         for parts in pieces(lines):
             inbox, events = anyio.create_memory_object_stream[mail.Event](8)
