Tidying of the network code: one piece where several did the same

Read over once more, behaviour as it was. Taking all that waits in a mailbox stood in five places (mail.waiting), closing the database's connection in three, an error's place in the log and in the drill, the guard of the desk beside settle, a server put up by hand beside the tests' place. Out: unused names and a told figure that nothing read. The request that syncs a link is the processor's own now, so that no word of its protocol stands in mail. Tests keep their assertions.

--- a/examples/standins.py
+++ b/examples/standins.py
@@ -26,12 +26,10 @@
 LOST = (anyio.EndOfStream, anyio.IncompleteRead, anyio.BrokenResourceError, anyio.ClosedResourceError)
 
 
-class StandIn:
-    """A listener on loopback whose connections can be cut."""
+class Watched:
+    """Something whose changes can be awaited."""
 
     def __init__(self) -> None:
-        self.port = 0
-        self.streams: list[SocketStream] = []
         self.changed = anyio.Event()
 
     def _changes(self) -> None:
@@ -45,6 +43,15 @@
                 await self.changed.wait()
         return found
 
+
+class StandIn(Watched):
+    """A listener on loopback whose connections can be cut."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.port = 0
+        self.streams: list[SocketStream] = []
+
     async def run(self, port: int = 0, *, task_status: TaskStatus[int] = anyio.TASK_STATUS_IGNORED) -> None:
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=port)
         self.port = listener.listeners[0].extra(SocketAttribute.local_port)
@@ -199,17 +206,18 @@
                 return
 
 
-class Router:
+class Router(Watched):
     """One router connection to an app server."""
 
     ids = itertools.count(int.from_bytes(urandom(6)) + 1)  # new with every try, of whatever process
 
     def __init__(self, stream: SocketStream) -> None:
+        super().__init__()
         self.stream, self.numbers = stream, itertools.count(1)
         self.unpacker = msgpack.Unpacker()
         self.answers: dict[int, Any] = {}  # by number: the error and the result
         self.notices: list[str] = []
-        self.closed, self.changed = False, anyio.Event()
+        self.closed = False
 
     @classmethod
     async def connect(cls, tasks: TaskGroup, host: str, port: int) -> Router:
@@ -234,12 +242,6 @@
             self._changes()
             await anyio.aclose_forcefully(self.stream)
 
-    def _changes(self) -> None:
-        self.changed.set()
-        self.changed = anyio.Event()
-
-    until = StandIn.until
-
     def frame(self, method: str, body: bytes = b"", **fields: str) -> tuple[int, bytes]:
         """A call's number and its bytes; fields replace the usual ones."""
         number = next(self.numbers)
--- a/tests/server.py
+++ b/tests/server.py
@@ -6,7 +6,6 @@
 import logging
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from pathlib import Path
 from typing import Any
 
 import anyio
@@ -14,6 +13,7 @@
 from anyio.abc import TaskGroup
 
 from examples.standins import Database, Processor, Roster, Router
+from examples.toy import START
 from thymeyoke import start
 from thymeyoke.choice import Choice
 from thymeyoke.net import log, server
@@ -80,7 +80,6 @@
         return [did.id for did in self.did if type(did) is action]
 
 
-START = Path(__file__).parent.parent / "examples" / "start.json"
 log.logger.addHandler(logging.NullHandler())
 log.logger.propagate = False
 
@@ -126,13 +125,14 @@
     processor: Processor | None = None, database: Database | None = None, roster: Roster | None = None,
     **changed: Any,
 ) -> AsyncIterator[Place]:  # fmt: skip
-    """A server that is up, on free ports; all of it is taken down at the end."""
+    """A server on free ports, up if its processor is; all of it is taken down at the end."""
     async with anyio.create_task_group() as tasks:
         here = Place(tasks, processor or Processor(), database or Database(), roster or Roster())
         for around in (here.processor, here.database, here.roster):
             await tasks.start(around.run)
         await here.serve(changed)
-        await here.processor.until(lambda: any(said["event"] == "usage" for said in here.processor.heard))
+        if here.processor.up.is_set():
+            await here.processor.until(lambda: any(said["event"] == "usage" for said in here.processor.heard))
         with anyio.fail_after(20):
             yield here
         tasks.cancel_scope.cancel()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -17,7 +17,7 @@
 import orjson
 
 from examples.standins import Database, Processor, Roster
-from tests.server import Place, place, told
+from tests.server import place, told
 from thymeyoke import start
 from thymeyoke.choice import Choice
 from thymeyoke.net import database, desk, front, invariants, log, mail, processor, rpc
@@ -332,18 +332,13 @@
             self.assertEqual((await router.answer(await router.check()))[1][0], True)
         slow = Processor()
         slow.up = anyio.Event()
-        async with anyio.create_task_group() as tasks:
-            for around in (slow, base := Database(), names := Roster()):
-                await tasks.start(around.run)
-            here = Place(tasks, slow, base, names)
-            await here.serve({})
+        async with place(slow) as here:
             router = await here.router()
             self.assertEqual(await router.answer(await router.check()), (None, [True, {}]))
             self.assertEqual((await router.answer(await router.ask("look")))[0][0], "Shed")
             slow.up.set()
             await slow.until(lambda: slow.heard[-1].get("ticket") == "gauges")
             self.assertIsNone((await router.answer(await router.ask("look")))[0])
-            tasks.cancel_scope.cancel()
 
     async def test_a_link_cut_in_the_middle_of_runs(self) -> None:
         """What ended meanwhile is told first; nothing runs twice and nothing is lost."""
--- a/thymeyoke/drill/__main__.py
+++ b/thymeyoke/drill/__main__.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import sys
-from traceback import extract_tb
 from typing import Any, BinaryIO
 
 import orjson
 
 from thymeyoke.choice import Choice
 from thymeyoke.drill import words
+from thymeyoke.net.log import place
 from thymeyoke.start import start
 
 
@@ -17,13 +17,6 @@
     """The input cannot be read without guessing."""
 
 
-def where(error: BaseException) -> str:
-    """An exception's type, text and place, on one line."""
-    frames = extract_tb(error.__traceback__)
-    place = f"{frames[-1].filename.rsplit('/', 1)[-1]}:{frames[-1].lineno}" if frames else "?"
-    return f"{type(error).__name__} at {place}: {error}".replace("\n", " ")
-
-
 class Drill:
     """The instances of this process. `yokes` is emptied by `Teardown`."""
 
@@ -53,12 +46,12 @@
                     words.event(yoke, now, row)
                 touched[i] = yoke
             except Exception as error:
-                reply.append(["Broken", i, where(error)])
+                reply.append(["Broken", i, place(error)])
         for i, yoke in touched.items():
             try:
                 reply.extend(words.ACTIONS[type(act)](i, act) for act in yoke.settle(now))
             except Exception as error:
-                reply.append(["Broken", i, where(error)])
+                reply.append(["Broken", i, place(error)])
         return reply
 
 
--- a/thymeyoke/net/database.py
+++ b/thymeyoke/net/database.py
@@ -13,7 +13,7 @@
 
 from thymeyoke.net import log
 from thymeyoke.net.clock import clock
-from thymeyoke.net.mail import Call, CallOver, Event, GiveUp, post
+from thymeyoke.net.mail import Call, CallOver, Event, GiveUp, post, waiting
 from thymeyoke.port.facts import Outcome
 from thymeyoke.start import Address
 
@@ -75,9 +75,11 @@
         return Back(id, outcome, after[:size])
 
 
-def encode(call: Call, now: float) -> bytes:
-    wait = max(1, ceil((call.until - now) * 1000))
-    return f"Q {call.id} {wait} {len(call.body)}".encode() + END + call.body + END
+def encode(what: Call | GiveUp, now: float) -> bytes:
+    if isinstance(what, GiveUp):
+        return f"X {what.id}".encode() + END
+    wait = max(1, ceil((what.until - now) * 1000))
+    return f"Q {what.id} {wait} {len(what.body)}".encode() + END + what.body + END
 
 
 class Out(NamedTuple):
@@ -94,7 +96,6 @@
         self.out: dict[str, Out] = {}
         self.ends: list[tuple[float, str]] = []  # emptied as they pass
         self.stream: ByteStream | None = None
-        self.reading = anyio.CancelScope()
         self.used = 0.0
 
     def tell(self, what: Call | GiveUp) -> bool:
@@ -111,9 +112,12 @@
             async with anyio.create_task_group() as tasks:
                 await self._run(tasks)
         finally:
-            if self.stream:
-                stream, self.stream = self.stream, None
-                await anyio.aclose_forcefully(stream)
+            await self._close()
+
+    async def _close(self) -> None:
+        if self.stream:
+            stream, self.stream = self.stream, None
+            await anyio.aclose_forcefully(stream)
 
     async def _run(self, tasks: TaskGroup) -> None:
         while True:
@@ -137,11 +141,11 @@
             await self._over(what.id, Outcome.CUT)
 
     async def _do(self, tasks: TaskGroup, what: Call | GiveUp) -> None:
+        now = clock()
         if isinstance(what, GiveUp):
             if self.out.pop(what.id, None):
-                await self._send(f"X {what.id}".encode() + END)
+                await self._send(encode(what, now))
             return
-        now = clock()
         self.out[what.id] = Out(what.until, now)
         heappush(self.ends, (what.until, what.id))
         if self.stream is None and not await self._open(tasks):
@@ -150,8 +154,7 @@
 
     async def _unreached(self) -> None:
         """What waits behind a failed connect is not made to wait for as many more."""
-        while self.unsent.statistics().current_buffer_used:
-            what = self.unsent.receive_nowait()
+        for what in waiting(self.unsent):
             if isinstance(what, Call):
                 self.out[what.id] = Out(what.until, clock())
         for id in list(self.out):
@@ -193,8 +196,7 @@
         """A connection that breaks during a call proves nothing about it."""
         if self.stream is not stream:
             return
-        self.stream = None
-        await anyio.aclose_forcefully(stream)
+        await self._close()
         if self.out:
             log.counts["database_cut"] += 1
         for id in list(self.out):
@@ -209,8 +211,7 @@
         while self.ends and self.ends[0][0] <= now:
             until, id = heappop(self.ends)
             if (out := self.out.get(id)) and out.until <= until:
-                await self._send(f"X {id}".encode() + END)
+                await self._send(encode(GiveUp(id), now))
                 await self._over(id, Outcome.TIMEOUT)
-        if self.stream and not self.out and now >= self.used + IDLE:
-            stream, self.stream = self.stream, None
-            await anyio.aclose_forcefully(stream)
+        if not self.out and now >= self.used + IDLE:
+            await self._close()
--- a/thymeyoke/net/desk.py
+++ b/thymeyoke/net/desk.py
@@ -51,6 +51,7 @@
     Trim,
     Up,
     Verdict,
+    waiting,
 )
 from thymeyoke.net.processor import Processor
 from thymeyoke.net.roster import Roster
@@ -138,18 +139,17 @@
         batch: list[Event] = []
         with anyio.move_on_after(max(0.0, min(moments) - clock())):
             batch.append(await self.events.receive())
-        while self.events.statistics().current_buffer_used:
-            batch.append(self.events.receive_nowait())
-        return batch
+        return batch + waiting(self.events)
 
-    def _guarded(self, what: Callable[..., None], *given: Any) -> None:
+    def _guarded(self, what: Callable[..., Any], *given: Any) -> Any:
         """An error in the decisions, or here, ends neither the server nor the answers due."""
         try:
-            what(*given)
+            return what(*given)
         except Exception as error:
             log.counts["desk_error"] += 1
             log.say(logging.ERROR, "desk error", error)
             holds(False, "no_desk_error", place=log.place(error))
+            return None
 
     # What is heard.
 
@@ -296,21 +296,20 @@
         while self.dues and self.dues[0][0] <= now:
             moment, id = heappop(self.dues)
             if (slip := self.slips.get(id)) and slip.due <= moment:
-                self._last_resort(now, id)
+                self._last_resort(now, slip)
         if now >= self.leave_at - LAST_MARGIN:
-            for id in list(self.slips):
-                self._last_resort(now, id)
+            for slip in list(self.slips.values()):
+                self._last_resort(now, slip)
         left = self.leave_at < float("inf")
         self.done = left and not self.unanswered and (self.emptied or now >= self.leave_at - STOP_MARGIN)
 
-    def _last_resort(self, now: float, id: str) -> None:
-        slip = self.slips.get(id)
-        if slip is None or slip.answered:
+    def _last_resort(self, now: float, slip: Slip) -> None:
+        if slip.answered:
             return
         self._answer(slip, Verdict.FAIL)
         if self.yoke:
-            self._guarded(self.yoke.gone, now, id)
-        holds(False, "answered_in_time", id=id)
+            self._guarded(self.yoke.gone, now, slip.order.id)
+        holds(False, "answered_in_time", id=slip.order.id)
 
     def _synced(self, link: int) -> None:
         """The replayed notices are in: what is still open was lost with the old link, or never sent."""
@@ -327,13 +326,7 @@
         """The module's actions; what they end at once is told to it, until nothing is left to say."""
         self.fresh_keys.clear()
         for _ in range(8):
-            actions: list[act.Action] = []
-            try:
-                actions = self.yoke.settle(now) if self.yoke else []
-            except Exception as error:
-                log.counts["desk_error"] += 1
-                log.say(logging.ERROR, "settle failed", error)
-                holds(False, "no_desk_error", place=log.place(error))
+            actions: list[act.Action] = (self.yoke and self._guarded(self.yoke.settle, now)) or []
             for action in actions:
                 self._guarded(self._carry_out, now, action)
             for command in self.late:
--- a/thymeyoke/net/front.py
+++ b/thymeyoke/net/front.py
@@ -23,6 +23,7 @@
     Trim,
     Verdict,
     post,
+    waiting,
 )
 from thymeyoke.start import Address, Names
 
@@ -116,9 +117,7 @@
     async def _write(self) -> None:
         try:
             async for first in self.unsent:
-                batch = [first]
-                while self.unsent.statistics().current_buffer_used:
-                    batch.append(self.unsent.receive_nowait())
+                batch = [first, *waiting(self.unsent)]
                 if data := b"".join(rpc.encode(what) for what in batch if what is not None):
                     await self.stream.send(data)
                     self.used = clock()
--- a/thymeyoke/net/log.py
+++ b/thymeyoke/net/log.py
@@ -18,11 +18,10 @@
 
 class KeyValue(logging.Formatter):
     def format(self, record: logging.LogRecord) -> str:
-        pairs = {"at": record.created, "level": record.levelname.lower(), "what": record.getMessage()}
-        pairs |= getattr(record, "pairs", {})
+        level, what = record.levelname.lower(), record.getMessage()
+        pairs = {"at": f"{record.created:.3f}", "level": level, "what": what} | getattr(record, "pairs", {})
         if record.exc_info and record.exc_info[1] is not None:
             pairs["error"] = place(record.exc_info[1])
-        pairs["at"] = f"{record.created:.3f}"
         return " ".join(f"{key}={_quoted(value)}" for key, value in pairs.items())
 
 
@@ -37,8 +36,7 @@
 
 def say(level: int, what: str, error: BaseException | None = None, **pairs: Any) -> None:
     if logger.isEnabledFor(level):
-        info = (type(error), error, error.__traceback__) if error else None
-        logger.log(level, what, extra={"pairs": pairs}, exc_info=info)
+        logger.log(level, what, extra={"pairs": pairs}, exc_info=error)
 
 
 def set_up(level: str) -> None:
--- a/thymeyoke/net/mail.py
+++ b/thymeyoke/net/mail.py
@@ -7,10 +7,10 @@
 
 from contextlib import suppress
 from enum import Enum
-from typing import NamedTuple, Protocol
+from typing import NamedTuple, Protocol, TypeVar
 
 import anyio
-from anyio.streams.memory import MemoryObjectSendStream
+from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
 from thymeyoke.port.facts import Outcome
 
@@ -172,8 +172,6 @@
 class Gauge(NamedTuple):
     """Ask for the gauges."""
 
-    ticket: str = "gauges"
-
 
 class Call(NamedTuple):
     id: str
@@ -196,6 +194,14 @@
 )  # fmt: skip
 
 
+Letter = TypeVar("Letter")
+
+
+def waiting(mailbox: MemoryObjectReceiveStream[Letter]) -> list[Letter]:
+    """Take all that is in a mailbox now."""
+    return [mailbox.receive_nowait() for _ in range(mailbox.statistics().current_buffer_used)]
+
+
 async def post(desk: MemoryObjectSendStream[Event], event: Event) -> None:
     """Tell the desk, unless it has gone home."""
     with suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
--- a/thymeyoke/net/processor.py
+++ b/thymeyoke/net/processor.py
@@ -4,7 +4,7 @@
 
 import logging
 from base64 import b64decode, b64encode
-from typing import Any
+from typing import Any, NamedTuple
 
 import anyio
 import orjson
@@ -28,6 +28,7 @@
     TakeUp,
     Up,
     post,
+    waiting,
 )
 from thymeyoke.port.facts import Outcome
 from thymeyoke.start import Address, Names
@@ -37,14 +38,20 @@
 CHUNK = 1 << 16
 LINE_LIMIT = 1 << 16
 FIRST_PAUSE, LAST_PAUSE = 0.02, 0.5  # between tries to connect
-SYNC = "sync"  # the ticket, with the link's number behind it
+GAUGES, SYNC = "gauges", "sync"  # tickets; the second has the link's number behind it
+
+
+class Sync(NamedTuple):
+    """Ask for a sign that all notices before this link have been told."""
+
+    link: int
 
 
 class BadLine(Exception):
     """What the processor sent is not of the protocol."""
 
 
-def encode(command: Command, op_types: list[str]) -> bytes:
+def encode(command: Command | Sync, op_types: list[str]) -> bytes:
     match command:
         case Begin(id, type, body):
             said = {"event": "begin", "handle": id, "entry": op_types[type], "arg": b64encode(body).decode()}
@@ -54,8 +61,10 @@
             said = {"event": "interrupt", "handle": id}
         case TakeUp(id):
             said = {"event": "goon", "handle": id}
-        case Gauge(ticket):
-            said = {"event": "usage", "ticket": ticket}
+        case Gauge():
+            said = {"event": "usage", "ticket": GAUGES}
+        case Sync(link):
+            said = {"event": "usage", "ticket": f"{SYNC}{link}"}
     return orjson.dumps(said) + b"\n"
 
 
@@ -90,11 +99,11 @@
 
     def __init__(self, where: Address, names: Names, desk: MemoryObjectSendStream[Event]) -> None:
         self.where, self.op_types, self.desk = where, list(names.op_types), desk
-        self.outbox, self.unsent = anyio.create_memory_object_stream[Command](OUTBOX)
+        self.outbox, self.unsent = anyio.create_memory_object_stream[Command | Sync](OUTBOX)
         self.scope = anyio.CancelScope()  # of the present link
         self.link = self.cursor = 0
 
-    def tell(self, command: Command) -> None:
+    def tell(self, command: Command | Sync) -> None:
         try:
             self.outbox.send_nowait(command)
         except anyio.WouldBlock:
@@ -125,8 +134,7 @@
             await anyio.sleep(pause)
 
     async def _live(self, stream: ByteStream) -> None:
-        while self.unsent.statistics().current_buffer_used:  # of the link before: the desk sends again
-            self.unsent.receive_nowait()
+        waiting(self.unsent)  # of the link before: the desk sends again
         with anyio.CancelScope() as self.scope:
             async with anyio.create_task_group() as tasks:
                 hello = orjson.dumps({"event": "hello", "cursor": self.cursor})
@@ -138,10 +146,8 @@
     async def _write(self, stream: ByteStream) -> None:
         try:
             async for command in self.unsent:
-                batch = [encode(command, self.op_types)]
-                while self.unsent.statistics().current_buffer_used:
-                    batch.append(encode(self.unsent.receive_nowait(), self.op_types))
-                await stream.send(b"".join(batch))
+                batch = [command, *waiting(self.unsent)]
+                await stream.send(b"".join(encode(command, self.op_types) for command in batch))
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             self.scope.cancel()
 
@@ -167,6 +173,6 @@
                 return
             self.cursor = cursor
         if isinstance(event, Up):  # no sooner: a processor that is not up carries out no command
-            self.tell(Gauge(f"{SYNC}{self.link}"))
+            self.tell(Sync(self.link))
         if event is not None:
             await post(self.desk, event)
--- a/thymeyoke/net/rpc.py
+++ b/thymeyoke/net/rpc.py
@@ -14,8 +14,8 @@
 FRAME_LIMIT = 1 << 18  # bytes of what is read but not yet whole
 NUMBER_LIMIT = 1 << 32
 SIZE_LIMIT = 2000.0
-ASK, REPLY, NOTICE = 0, 1, 2
-CHECK, CANCEL, LEAVING = "alive", "cancelRequest", "leaving"
+REPLY, NOTICE = 1, 2
+CHECK, LEAVING = "alive", "leaving"
 ERRORS = {Verdict.NACK: "Shed", Verdict.FAIL: "Fault"}
 
 
@@ -104,14 +104,10 @@
         return Ask(number, order)
 
 
-def _fields(value: float | None) -> dict[str, str]:
-    return {} if value is None else {"pressure": f"{value:g}"}
-
-
 def encode(what: Telling) -> bytes:
     if isinstance(what, Leaving):
         return msgpack.packb([NOTICE, LEAVING, []])
-    fields = _fields(what.value)
+    fields = {} if what.value is None else {"pressure": f"{what.value:g}"}
     if isinstance(what, Fitness):
         return msgpack.packb([REPLY, what.number, None, [what.fit, fields]])
     if what.verdict is Verdict.ACK:
--- a/thymeyoke/start.py
+++ b/thymeyoke/start.py
@@ -118,7 +118,6 @@
     database: Address
     roster: Address
     stop: float  # from the notice to leave until the process is killed
-    memory: float  # MB, of this process
     descriptors: int
 
 
@@ -140,7 +139,6 @@
         database=address(told["db"]),
         roster=address(told["naming"]),
         stop=told["stop_ms"] / 1000,
-        memory=float(limits.get("memory_mb", 192)),
         descriptors=int(limits.get("sockets", 1024)),
     )
 
