SIGHUP: the start file is read again and its new addresses are taken

Checked: the server's log ends without a line; server._notice listened for SIGTERM and SIGINT only, so that the system's own action for SIGHUP held. Ruled out: a fault in reading the file, it was never read. Change: _signals hears SIGHUP for the server's whole life, a drain included; the file is read again, and the processor's link, the database's actor and the list's are told to Move. The link takes up behind the last notice read; calls that are out come back by the old connection; a file that is not taken is logged, counted and changes nothing.

--- a/tests/server.py
+++ b/tests/server.py
@@ -108,12 +108,18 @@
                      "naming": self.roster.port}  # fmt: skip
         given = told(**{name: f"127.0.0.1:{port}" for name, port in addresses.items()} | changed)
 
+        def again() -> start.Station:
+            if isinstance(self.start, start.BadStart):
+                raise self.start
+            return start.station(self.start)
+
         async def run(*, task_status: Any) -> None:
             await server.serve(
                 start.station(given), start.names(given["settings"]), start.start(7, given["settings"]),
-                task_status=task_status)  # fmt: skip
+                again, task_status=task_status)  # fmt: skip
             self.ended.set()
 
+        self.start: dict[str, Any] | start.BadStart = given  # what the start file says when it is read again
         self.where = await self.tasks.start(run)
 
     async def router(self) -> Router:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -451,6 +451,54 @@
                 os.kill(os.getpid(), signal.SIGTERM)
                 await here.roster.until(lambda: here.roster.reports[-1] == ("/ns/hosts/toy-1", "no"))
 
+    async def test_new_addresses_while_runs_and_calls_go_on(self) -> None:
+        """SIGHUP once ended the server. A file not taken changes nothing; calls that are out come back
+        by their old connection, runs and notice numbers carry on."""
+        async with place(Processor(held=True), Database(None)) as here:
+            router, work = await here.router(), here.processor
+            numbers = [await router.ask("buy", b"a", **KEY), await router.ask("look", b"b")]
+            await here.database.until(lambda: len(here.database.heard) == 2)
+            given, here.start = here.start, start.BadStart("half written")
+            os.kill(os.getpid(), signal.SIGHUP)
+            with anyio.fail_after(2):
+                while not log.counts["start_file_bad"]:
+                    await anyio.sleep(0.01)
+            database, roster = Database(), Roster()
+            door, links = anyio.Event(), await anyio.create_tcp_listener(local_host="127.0.0.1")
+
+            async def moved(stream: anyio.abc.SocketStream) -> None:
+                door.set()
+                await work._serve(stream)
+
+            here.tasks.start_soon(links.serve, moved)
+            for around in (database, roster):
+                await here.tasks.start(around.run)
+            port = links.listeners[0].extra(anyio.abc.SocketAttribute.local_port)
+            ports = {"processor": port, "db": database.port, "naming": roster.port}
+            here.start = given | {name: f"127.0.0.1:{port}" for name, port in ports.items()}
+            for _ in range(3):  # several times changes nothing
+                os.kill(os.getpid(), signal.SIGHUP)
+            with anyio.fail_after(2):
+                await door.wait()
+            await roster.until(lambda: roster.reports)
+            numbers.append(await router.ask("look", b"c"))
+            await database.until(lambda: len(database.heard) == 1)
+            for id in [heard.split()[1] for heard in here.database.heard]:
+                await here.database.streams[0].send(f"{id} ROWS 1\r\nx\r\n".encode())
+            await work.until(lambda: len(work.begun) == 3)
+            for id in work.begun:
+                work.end(id)
+            for number in numbers:
+                self.assertIsNone((await router.answer(number))[0])
+            begins = [said["handle"] for said in work.heard if said["event"] == "begin"]
+            self.assertEqual((len(begins), len(set(begins)), log.counts["processor_links_lost"]), (3, 3, 1))
+            os.kill(os.getpid(), signal.SIGTERM)
+            await router.until(lambda: router.notices)
+            os.kill(os.getpid(), signal.SIGHUP)
+            await router.stream.aclose()
+            with anyio.fail_after(3):
+                await here.ended.wait()
+
     async def test_a_drain_answers_all_and_ends_in_time(self) -> None:
         async with place(Processor(held=True)) as here:
             busy, idle = await here.router(), await here.router()
--- a/thymeyoke/__main__.py
+++ b/thymeyoke/__main__.py
@@ -28,7 +28,7 @@
     from thymeyoke.net import log, server
 
     log.set_up(log_level)
-    anyio.run(server.serve, *_read(config))
+    anyio.run(server.serve, *_read(config), lambda: start.read(config)[0])
 
 
 @main.command()
--- a/thymeyoke/net/database.py
+++ b/thymeyoke/net/database.py
@@ -13,7 +13,7 @@
 
 from thymeyoke.net import log
 from thymeyoke.net.clock import clock
-from thymeyoke.net.mail import Call, CallOver, Event, GiveUp, post, waiting
+from thymeyoke.net.mail import Call, CallOver, Event, GiveUp, Move, post, waiting
 from thymeyoke.port.facts import Outcome
 from thymeyoke.start import Address
 
@@ -98,8 +98,11 @@
         self.stream: ByteStream | None = None
         self.used = 0.0
 
-    def tell(self, what: Call | GiveUp) -> bool:
+    def tell(self, what: Call | GiveUp | Move) -> bool:
         """Whether it will be tried: a call that is not has not run."""
+        if isinstance(what, Move):  # the old connection is still read: its calls may come back
+            self.where, self.stream = what.where, None
+            return True
         try:
             self.outbox.send_nowait(what)
         except anyio.WouldBlock:
--- a/thymeyoke/net/mail.py
+++ b/thymeyoke/net/mail.py
@@ -13,6 +13,7 @@
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
 from thymeyoke.port.facts import Outcome
+from thymeyoke.start import Address
 
 
 class Order(NamedTuple):
@@ -187,6 +188,12 @@
     fit: bool
 
 
+class Move(NamedTuple):
+    """The peer is to be found elsewhere from now on; what is in hand with it carries over."""
+
+    where: Address
+
+
 Command = Begin | Interrupt | TakeUp | Reply | Gauge
 Event = (
     Arrived | Checked | Gone | Emptied | Leave
--- a/thymeyoke/net/processor.py
+++ b/thymeyoke/net/processor.py
@@ -22,6 +22,7 @@
     Gauge,
     Gauges,
     Interrupt,
+    Move,
     Refused,
     Reply,
     Synced,
@@ -103,7 +104,10 @@
         self.scope = anyio.CancelScope()  # of the present link
         self.link = self.cursor = 0
 
-    def tell(self, command: Command | Sync) -> None:
+    def tell(self, command: Command | Sync | Move) -> None:
+        if isinstance(command, Move):  # the new link takes up behind the last notice read on the old one
+            self.where = command.where
+            return self.scope.cancel()
         try:
             self.outbox.send_nowait(command)
         except anyio.WouldBlock:
--- a/thymeyoke/net/roster.py
+++ b/thymeyoke/net/roster.py
@@ -10,7 +10,7 @@
 from anyio.abc import ByteStream
 
 from thymeyoke.net import log
-from thymeyoke.net.mail import Report
+from thymeyoke.net.mail import Move, Report
 from thymeyoke.start import Address
 
 PERIOD = 0.9  # seconds between reports
@@ -27,13 +27,13 @@
 
     def __init__(self, where: Address, name: str) -> None:
         self.where, self.path, self.fit = where, f"/ns/hosts/{name}", True
-        self.outbox, self.unsent = anyio.create_memory_object_stream[Report](4)
+        self.outbox, self.unsent = anyio.create_memory_object_stream[Report | Move](4)
         self.stream: ByteStream | None = None
         self.http = h11.Connection(h11.CLIENT)
 
-    def tell(self, report: Report) -> None:
+    def tell(self, what: Report | Move) -> None:
         try:
-            self.outbox.send_nowait(report)
+            self.outbox.send_nowait(what)
         except anyio.WouldBlock:
             log.counts["roster_outbox_full"] += 1
 
@@ -56,7 +56,14 @@
                 log.counts["reports_failed"] += 1
                 await self._close()
             with anyio.move_on_after(PERIOD):
-                self.fit = (await self.unsent.receive()).fit
+                await self._heard(await self.unsent.receive())
+
+    async def _heard(self, what: Report | Move) -> None:
+        if isinstance(what, Report):
+            self.fit = what.fit
+        else:
+            self.where = what.where
+            await self._close()
 
     async def _close(self) -> None:
         if self.stream:
--- a/thymeyoke/net/server.py
+++ b/thymeyoke/net/server.py
@@ -15,16 +15,16 @@
 from thymeyoke.net.database import Database
 from thymeyoke.net.desk import Desk
 from thymeyoke.net.front import Front
-from thymeyoke.net.mail import Leave, post
+from thymeyoke.net.mail import Leave, Move, post
 from thymeyoke.net.processor import Processor
 from thymeyoke.net.roster import Roster
-from thymeyoke.start import Address, Names, Station
+from thymeyoke.start import Address, BadStart, Names, Station
 
 AGAIN = 0.1  # seconds until an actor that failed starts again
 
 
 async def serve(
-    station: Station, names: Names, given: dict[str, Any],
+    station: Station, names: Names, given: dict[str, Any], again: Callable[[], Station],
     *, task_status: TaskStatus[Address] = anyio.TASK_STATUS_IGNORED,
 ) -> None:  # fmt: skip
     desk = Desk(station.stop, given)
@@ -33,6 +33,20 @@
     database = Database(station.database, desk.inbox)
     roster = Roster(station.roster, station.name)
     desk.meet(front, processor, database, roster)
+
+    def moves() -> None:
+        """The start file again: peers may be elsewhere. What it says besides waits for the next start."""
+        try:
+            new = again()
+        except BadStart as error:  # not there, or half written: what was read before still holds
+            log.counts["start_file_bad"] += 1
+            return log.say(logging.ERROR, "start file not taken", error)
+        peers = ((processor, new.processor), (database, new.database), (roster, new.roster))
+        for peer, where in peers:
+            if peer.where != where:
+                peer.tell(Move(where))
+        log.say(logging.INFO, "start file read again", processor=new.processor, database=new.database)
+
     where = await front.listen(station.listen)
     log.say(logging.INFO, "listening", name=station.name, address=where)
     gc.collect()
@@ -41,7 +55,7 @@
         async with anyio.create_task_group() as tasks:
             for actor in (front, processor, database, roster):
                 tasks.start_soon(_kept_up, actor.run)
-            tasks.start_soon(_notice, desk)
+            await tasks.start(_signals, desk, moves)
             task_status.started(where)
             await desk.run()
             tasks.cancel_scope.cancel()
@@ -65,10 +79,17 @@
             await anyio.sleep(AGAIN)
 
 
-async def _notice(desk: Desk) -> None:
-    """SIGTERM is the notice to leave; a second one changes nothing."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            await post(desk.inbox, Leave())
-            break
-        await anyio.sleep_forever()
+async def _signals(
+    desk: Desk, moves: Callable[[], None], *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+) -> None:
+    """SIGTERM is the notice to leave; a second one changes nothing. SIGHUP asks to read the start file again,
+    during a drain as well."""
+    left = False
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        task_status.started()
+        async for number in signals:
+            if number == signal.SIGHUP:
+                moves()
+            elif not left:
+                left = True
+                await post(desk.inbox, Leave())
