Silent, half-said and repeating peers are closed; another body gets no result

Front._accept waited while the table was full, and nothing timed out a first byte or a half message. Memory: msgpack's Unpacker takes its whole max_buffer_size, 256 KiB, at once for each connection. Change: a connection has 1.5 s for its first message and for the rest of a half one; at a full table who never said a message goes first, then who was heard longest ago; more than 32 open ops or five ops not understood end a connection; numbers are plain digits in their bounds; lines on what peers do are 20 in 10 s, the rest counted; a key with another body fails at once; a run not begun ends as moot and frees its key; commands are sent again only where they went out within 0.3 s of the link's loss.

--- a/examples/standins.py
+++ b/examples/standins.py
@@ -90,6 +90,7 @@
         self.begun: list[str] = []  # runs, in the order of their starts
         self.replies: dict[str, bytes] = {}
         self.let: set[str] = set()
+        self.refused: set[bytes] = set()  # bodies that it begins no run with
         self.up = anyio.Event()
         self.up.set()
         self.sending = anyio.Lock()
@@ -108,6 +109,9 @@
                 case "usage":
                     used = {"event": "used", "ticket": said["ticket"], "figures": [0, len(self.runs), 0, 1]}
                     await self._send(stream, orjson.dumps(used) + b"\n")
+                case "begin" if b64decode(said["arg"]) in self.refused:
+                    no = {"event": "reject", "fate": "begin", "handle": said["handle"]}
+                    await self._send(stream, orjson.dumps(no) + b"\n")
                 case "begin" if said["handle"] not in self.runs:
                     self.begun.append(said["handle"])
                     self.tasks.start_soon(self._run, said["handle"], b64decode(said["arg"]))
--- a/thymeyoke/net/desk.py
+++ b/thymeyoke/net/desk.py
@@ -66,6 +66,7 @@
 LAST_MARGIN = 0.1  # by now all is answered, whatever the module says
 FAREWELL = 0.06  # an op may cross a close for 50 ms: after the last answer the process stays this long
 COUNTS_PERIOD = 10.0
+LOST_SPAN = 0.3  # commands that went out so long before a link was lost may be lost with it
 
 
 class Slip:
@@ -77,7 +78,7 @@
         self.answered = self.begun = self.over = self.paused = self.calling = False
         self.repeats: str | None = None
         self.command: Command | None = None  # the last to the processor, until known to have come through
-        self.sent = 0  # the link it went out on
+        self.sent, self.sent_at, self.again = 0, 0.0, False  # the link it went out on; whether on two
         self.asked = b""  # the body of the call that its run stands at
 
 
@@ -97,7 +98,7 @@
         self.timer_count = 0
         self.dues: list[tuple[float, str]] = []  # emptied as their moments pass
         self.gauges: tuple[float, ...] = ()
-        self.link = 0  # the processor's, once it is synced
+        self.link, self.down_at = 0, 0.0  # the processor's, once it is synced; when the last was lost
         self.own: list[Event] = []  # what carrying out led to at once; emptied within a settle
         self.late: list[Command] = []  # to the processor, after this batch's answers
         self.value: float | None = None
@@ -160,8 +161,8 @@
                 self._arrived(now, event)
             case Checked(asker, number):
                 asker.tell(Fitness(number, self.fit, self.value))
-            case Gone(id):
-                self._gone(now, id)
+            case Gone(id, asker):
+                self._gone(now, id, asker)
             case Ended():
                 self._ended(now, event)
             case Asked(id, body):
@@ -177,7 +178,7 @@
             case Synced(link):
                 self._synced(link)
             case Down():
-                self.link = 0
+                self.link, self.down_at = 0, now
             case Refused(id, command):
                 self._refused(now, id, command)
             case Leave():
@@ -199,14 +200,19 @@
         kind = self.kinds[order.type]
         marked = order.key if kind.repeat is Repeat.KEYED else order.subject if self.fresh else None
         key = (order.type, marked) if marked else None
+        # Two tries in one batch know each other though the earlier is not retained yet.
+        first = (self.keys.find(key, order.since) or self.fresh_keys.get(key)) if key else None
+        if first and order.key and not self._same_body(first, order):
+            # All tries of one op carry the same body: this is none of it, and gets nothing of its result.
+            log.counts["other_body"] += 1
+            return asker.tell(Answer(number, Verdict.FAIL, value=self.value))
         slip = self.slips[order.id] = Slip(asker, number, order, key)
         self.unanswered += 1
         log.counts["ops"] += 1
         heappush(self.dues, (max(now, slip.due) + self.duty.answer_slack, order.id))
-        # Two tries in one batch know each other though the earlier is not retained yet.
         if key:
-            slip.repeats = self.keys.find(key, order.since) or self.fresh_keys.get(key)
-            self.fresh_keys[key] = slip.repeats or order.id
+            slip.repeats = first
+            self.fresh_keys[key] = first or order.id
         self.yoke.take(now, facts.Op(
             id=order.id, type=order.type, tenant=order.tenant, size=order.size, subject=order.subject,
             hint=0.0, further=False, write=kind.repeat is not Repeat.RETRYABLE, repeats=slip.repeats,
@@ -214,9 +220,13 @@
             unread=max(0.0, now - order.since)))  # fmt: skip
         log.say(logging.DEBUG, "op", id=slip.order.id, type=order.type, left=slip.due - now)
 
-    def _gone(self, now: float, id: str) -> None:
+    def _same_body(self, first: str, order: Order) -> bool:
+        kept = self.keys.by_id.get(first)
+        return kept.mark == hash(order.body) if kept else self.slips[first].order.body == order.body
+
+    def _gone(self, now: float, id: str, asker: Asker) -> None:
         slip = self.slips.get(id)
-        if slip is None or slip.answered or self.yoke is None:
+        if slip is None or slip.asker is not asker or slip.answered or self.yoke is None:
             return
         log.counts["gone"] += 1
         self._close(slip)
@@ -263,12 +273,15 @@
             self._command(slip, Reply(event.id, event.body))
         self.yoke.called(now, event.id, event.outcome, event.took)
 
-    def _refused(self, now: float, id: str, command: str) -> None:
-        """The processor knows no such run, so none will end: the op is ended here."""
+    def _refused(self, now: float, id: str, command: type[Command] | None) -> None:
+        """A run that the processor did not begin ends here, as one that never ran: its time tells nothing of
+        its op type, and its key is free for an op that can run. Refused otherwise, a run goes on or ended."""
         log.counts["refused_commands"] += 1
-        log.say(logging.WARNING, "command not carried out", id=id, command=command)
-        if id in self.slips:
-            self._ended(now, Ended(id, Outcome.ERROR, b""))
+        log.of_peer("command not carried out", id=id, command=command and command.__name__)
+        slip = self.slips.get(id)
+        if slip and isinstance(slip.command, Begin) and command is Begin and not slip.again:
+            self._ended(now, Ended(id, Outcome.MOOT, b""))
+            self._forget(now, id)
 
     def _leave(self, now: float) -> None:
         self.leave_at = now + self.stop
@@ -312,10 +325,12 @@
         holds(False, "answered_in_time", id=slip.order.id)
 
     def _synced(self, link: int) -> None:
-        """The replayed notices are in: what is still open was lost with the old link, or never sent."""
-        self.link = link
+        """The replayed notices are in: what is still open was lost with the old link, or never sent. What
+        went out long before has come through: a run that ends just now must not be begun again."""
+        self.link, doubtful = link, self.down_at - LOST_SPAN
         for slip in self.slips.values():
-            if slip.command and slip.sent != link:
+            if slip.command and slip.sent != link and (not slip.sent or slip.sent_at > doubtful):
+                slip.again = slip.sent > 0
                 self._command(slip, slip.command)
             if slip.paused:
                 self.processor.tell(Interrupt(slip.order.id))
@@ -388,7 +403,8 @@
                     self.own.append(CallOver(id, Outcome.UNREACHED, b"", 0.0))
             case act.Keep(_, span):
                 if slip.key:
-                    self.keys.keep(id, slip.key, now + span, 0.0 if slip.order.key else self.fresh)
+                    fresh = 0.0 if slip.order.key else self.fresh
+                    self.keys.keep(id, slip.key, now + span, fresh, hash(slip.order.body))
             case act.Forget():
                 self._forget(now, id)
             case act.GoOn():  # no protocol here has a word for it
@@ -406,9 +422,8 @@
         heappush(self.timers, (at, self.timer_count, wake.mark))
 
     def _command(self, slip: Slip, command: Command) -> None:
-        slip.command = command
+        slip.command, slip.sent, slip.sent_at = command, self.link, clock()
         if self.link:
-            slip.sent = self.link
             self.processor.tell(command)
 
     def _answer(self, slip: Slip, verdict: Verdict, body: bytes = b"", **more: Any) -> None:
--- a/thymeyoke/net/front.py
+++ b/thymeyoke/net/front.py
@@ -29,11 +29,13 @@
 
 OPEN_OPS = 32  # of one connection
 OUTBOX = 4 * OPEN_OPS  # answers that a router may leave unread
-CHUNK = 1 << 14
-SPARE_DESCRIPTORS = 32  # kept for the links, the list and the interpreter
-ACCEPT_PAUSE = 0.05  # after a failed accept, or with no descriptor left
+SPARE_DESCRIPTORS = 56  # kept for the links, the list, calls and the interpreter
+ACCEPT_PAUSE = 0.05  # after a failed accept
 BACKLOG = 256
 GRACE = 1.0  # a router that was told `leaving` closes by itself; past this it is done for it
+HALF_SAID = 1.5  # a router finishes what it says, and says something once connected, sooner than this
+LOOK = 0.25  # between looks at what is unused or unfinished
+UNCLEAR_LIMIT = 4  # ops of one connection that are not understood; a router sends none
 
 
 class Connection:
@@ -45,6 +47,8 @@
         self.outbox, self.unsent = anyio.create_memory_object_stream[Telling | None](OUTBOX)
         self.scope = anyio.CancelScope()
         self.used, self.leaving_since, self.ended = clock(), math.inf, False
+        self.half_since = self.used  # since when something is awaited: the first message, or the rest of one
+        self.unclear, self.heard = 0, False
 
     def tell(self, what: Telling | None) -> None:
         if isinstance(what, Answer):
@@ -74,16 +78,21 @@
             with anyio.CancelScope(shield=True):
                 lost, self.open = list(self.open.values()), {}
                 for id in lost:
-                    await post(self.desk, Gone(id))
+                    await post(self.desk, Gone(id, self))
                 await anyio.aclose_forcefully(self.stream)
 
     async def _read(self) -> None:
         try:
             while True:
-                data = await self.stream.receive(CHUNK)
+                data = await self.stream.receive(rpc.CHUNK)
                 self.used = clock()
                 for message in self.reader.feed(data):
                     await self._take(message)
+                    self.heard, self.half_since = True, self.used
+                if self.heard and not self.reader.half():
+                    self.half_since = math.inf
+                elif self.half_since == math.inf:
+                    self.half_since = self.used
         except anyio.EndOfStream:  # only its sending half ended: what is open may still be answered
             self.ended = True
             self.tell(None)
@@ -91,7 +100,7 @@
             self.scope.cancel()
         except rpc.BadFrame as error:
             log.counts["bad_frame"] += 1
-            log.say(logging.WARNING, "connection closed", why=str(error))
+            log.of_peer("connection closed", why=str(error))
             self.scope.cancel()
 
     async def _take(self, message: rpc.Message) -> None:
@@ -100,19 +109,21 @@
                 if number in self.open:
                     raise rpc.BadFrame(f"number {number} is open already")
                 if len(self.open) >= OPEN_OPS:
-                    log.counts["too_many_open"] += 1
-                    return self.tell(Answer(number, Verdict.NACK))
+                    raise rpc.BadFrame("too many ops open")
                 self.open[number] = order.id
                 await self.desk.send(Arrived(self, number, order))
             case rpc.Check(number):
                 await self.desk.send(Checked(self, number))
             case rpc.Cancel(number):
                 if id := self.open.pop(number, None):
-                    await self.desk.send(Gone(id))
+                    await self.desk.send(Gone(id, self))
             case rpc.Unclear(number, why):
                 log.counts["unclear"] += 1
-                log.say(logging.WARNING, "op not understood", why=why)
+                log.of_peer("op not understood", why=why)
                 self.tell(Answer(number, Verdict.NACK))
+                self.unclear += 1
+                if self.unclear > UNCLEAR_LIMIT:  # the same again as soon as it is turned away, for ever
+                    raise rpc.BadFrame("too many ops that are not understood")
 
     async def _write(self) -> None:
         try:
@@ -164,10 +175,6 @@
 
     async def _accept(self, tasks: TaskGroup, listener: SocketListener) -> None:
         while True:
-            if len(self.connections) >= self.most:
-                log.counts["no_descriptor"] += 1
-                await anyio.sleep(ACCEPT_PAUSE)
-                continue
             try:
                 stream = await listener.accept()
             except OSError as error:  # no descriptors, or a peer that left while it waited
@@ -175,10 +182,26 @@
                 log.say(logging.WARNING, "accept failed", error)
                 await anyio.sleep(ACCEPT_PAUSE)
                 continue
-            tasks.start_soon(self._serve, Connection(stream, self.names, self.desk))
+            if len(self.connections) >= self.most and not self._make_room():
+                await anyio.aclose_forcefully(stream)  # nothing ran for it: it may go elsewhere
+                continue
+            connection = Connection(stream, self.names, self.desk)
+            self.connections.add(connection)
+            tasks.start_soon(self._serve, connection)
+
+    def _make_room(self) -> bool:
+        """A full table once shut routers out for peers that hold a connection and say nothing: who never said
+        a whole message goes first, then who said the last one longest ago. None with an op open."""
+        log.counts["no_descriptor"] += 1
+        idle = [connection for connection in self.connections if not connection.open]
+        victim = min(idle, key=lambda connection: (connection.heard, connection.used), default=None)
+        if victim is None:
+            return False
+        self.connections.discard(victim)
+        victim.scope.cancel()
+        return True
 
     async def _serve(self, connection: Connection) -> None:
-        self.connections.add(connection)
         log.counts["connections"] += 1
         if self.leaving:
             connection.tell(Leaving())
@@ -191,14 +214,18 @@
                     await post(self.desk, Emptied())
 
     async def _trim(self) -> None:
-        """Close what is unused for long. Only connections with no op open, and the router is told first."""
+        """Close what is unused for long. Only connections with no op open, and the router is told first. A
+        message that stands half said is waited for no longer, whoever sends it."""
         while True:
-            await anyio.sleep(min(1.0, max(ACCEPT_PAUSE, self.idle / 10)))
+            await anyio.sleep(min(LOOK, max(ACCEPT_PAUSE, self.idle / 10)))
             now = clock()
             for connection in list(self.connections):
-                if connection.open:
+                if now > connection.half_since + HALF_SAID:
+                    log.counts["half_said"] += 1
+                    connection.scope.cancel()
+                elif connection.open:
                     continue
-                if now > connection.leaving_since + GRACE:
+                elif now > connection.leaving_since + GRACE:
                     connection.scope.cancel()
                 elif now > connection.used + self.idle and connection.leaving_since == math.inf:
                     log.counts["trimmed"] += 1
--- a/thymeyoke/net/keys.py
+++ b/thymeyoke/net/keys.py
@@ -15,8 +15,9 @@
 class Kept:
     """A retained op. A repeat finds it while it lives, by when the repeat reached the machine."""
 
-    def __init__(self, id: str, key: Key, end: float, fresh: float) -> None:
+    def __init__(self, id: str, key: Key, end: float, fresh: float, mark: int) -> None:
         self.id, self.key, self.end, self.fresh = id, key, end, fresh
+        self.mark = mark  # of its body, which all its tries carry
         self.result: Result | None = None
         self.waiting: list[str] = []  # emptied by the result
 
@@ -44,12 +45,12 @@
         kept = self.by_key.get(key)
         return kept.id if kept and kept.names(reached) else None
 
-    def keep(self, id: str, key: Key, end: float, fresh: float = 0.0) -> None:
+    def keep(self, id: str, key: Key, end: float, fresh: float = 0.0, mark: int = 0) -> None:
         """Retain an op, or renew it; a newer op takes its key over."""
         if kept := self.by_id.get(id):
             kept.end = end
             return
-        self.by_key[key] = self.by_id[id] = Kept(id, key, end, fresh)
+        self.by_key[key] = self.by_id[id] = Kept(id, key, end, fresh, mark)
 
     def forget(self, id: str) -> list[str]:
         """Drop an op's entry; hands back the repeats that waited for it."""
--- a/thymeyoke/net/log.py
+++ b/thymeyoke/net/log.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import logging
-from collections import Counter
+import time
+from collections import Counter, deque
 from typing import Any
 
 logger = logging.getLogger("thymeyoke")
 counts: Counter[str] = Counter()  # of this process; its keys are words of the code, not of the input
+PEER_LINES, PEER_SPAN = 20, 10.0  # what peers do wrong is told in so many lines a span, and counted besides
+_peer_lines: deque[float] = deque(maxlen=PEER_LINES)
 
 
 def _quoted(value: object) -> str:
@@ -39,6 +42,16 @@
         logger.log(level, what, extra={"pairs": pairs}, exc_info=error)
 
 
+def of_peer(what: str, **pairs: Any) -> None:
+    """Something that a peer did wrong. One that goes on doing it fills no log."""
+    now = time.monotonic()
+    if len(_peer_lines) == PEER_LINES and now < _peer_lines[0] + PEER_SPAN:
+        counts["lines_left_out"] += 1
+        return
+    _peer_lines.append(now)
+    say(logging.WARNING, what, **pairs)
+
+
 def set_up(level: str) -> None:
     handler = logging.StreamHandler()
     handler.setFormatter(KeyValue())
--- a/thymeyoke/net/mail.py
+++ b/thymeyoke/net/mail.py
@@ -87,7 +87,10 @@
 
 
 class Gone(NamedTuple):
+    """Nobody waits there any more for the op: another peer's op of the same id is none of it."""
+
     id: str
+    asker: Asker
 
 
 class Emptied(NamedTuple):
@@ -134,7 +137,7 @@
     """A command that the processor did not carry out."""
 
     id: str
-    command: str
+    command: type[Command] | None
 
 
 class CallOver(NamedTuple):
--- a/thymeyoke/net/processor.py
+++ b/thymeyoke/net/processor.py
@@ -39,6 +39,7 @@
 CHUNK = 1 << 16
 LINE_LIMIT = 1 << 16
 FIRST_PAUSE, LAST_PAUSE = 0.02, 0.5  # between tries to connect
+COMMANDS = {"begin": Begin, "interrupt": Interrupt, "goon": TakeUp, "answer": Reply, "usage": Gauge}
 GAUGES, SYNC = "gauges", "sync"  # tickets; the second has the link's number behind it
 
 
@@ -87,7 +88,7 @@
             case "used":
                 return cursor, Gauges(tuple(float(value) for value in said["figures"]))
             case "reject":
-                return cursor, Refused(said.get("handle", ""), str(said.get("fate")))
+                return cursor, Refused(said.get("handle", ""), COMMANDS.get(said.get("fate")))
             case "remark":
                 return cursor, None
         raise BadLine(f"unknown event {str(said['event'])[:40]}")
--- a/thymeyoke/net/rpc.py
+++ b/thymeyoke/net/rpc.py
@@ -6,14 +6,19 @@
 
 import msgpack
 
+from thymeyoke.net.clock import clock
 from thymeyoke.net.mail import Fitness, Leaving, Order, Telling, Verdict
 from thymeyoke.start import Names
 
 BODY_LIMIT = 2048
 FIELD_LIMIT = 512  # bytes of a name or a field
-FRAME_LIMIT = 1 << 18  # bytes of what is read but not yet whole
+FRAME_LIMIT = 1 << 14  # bytes of a message that is not yet whole
+CHUNK = 1 << 14  # the most that is fed at once
+FIRST_BUFFER = 1 << 11  # of the library, for each connection: it grows where it has to
 NUMBER_LIMIT = 1 << 32
 SIZE_LIMIT = 2000.0
+PATIENCE_LIMIT = 3600.0
+SINCE_AHEAD = 1.0  # an op has reached the machine already, by clocks that are about the same
 REPLY, NOTICE = 1, 2
 CHECK, LEAVING = "alive", "leaving"
 ERRORS = {Verdict.NACK: "Shed", Verdict.FAIL: "Fault"}
@@ -46,30 +51,56 @@
 Message = Ask | Check | Cancel | Unclear
 
 
+def _whole(text: str) -> int:
+    """A number in plain digits: `int` alone takes signs, spaces, `_` and the digits of other scripts."""
+    if not (text.isascii() and text.isdigit()):
+        raise ValueError("not a whole number")
+    return int(text)
+
+
+def _mark(text: str | None) -> str | None:
+    if not (text is None or (isinstance(text, str) and text)):
+        raise ValueError("not a mark")
+    return text
+
+
 class Reader:
     """The messages of one connection, however its bytes are cut."""
 
     def __init__(self, names: Names) -> None:
         self.names = names
+        self.fed = self.whole = 0  # bytes, and how far the last whole message reached
         self.unpacker = msgpack.Unpacker(
-            raw=False, max_buffer_size=FRAME_LIMIT, max_str_len=FIELD_LIMIT, max_bin_len=BODY_LIMIT,
-            max_array_len=4, max_map_len=32, max_ext_len=0)  # fmt: skip
+            raw=False, max_buffer_size=FRAME_LIMIT + CHUNK, read_size=FIRST_BUFFER,
+            max_str_len=FIELD_LIMIT, max_bin_len=BODY_LIMIT, max_array_len=4, max_map_len=32,
+            max_ext_len=0)  # fmt: skip
 
     def feed(self, data: bytes) -> list[Message]:
         try:
+            self.fed += len(data)
             self.unpacker.feed(data)
-            return [self._message(frame) for frame in self.unpacker]
+            messages = []
+            for frame in self.unpacker:
+                messages.append(self._message(frame))
+                self.whole = self.unpacker.tell()
         except BadFrame:
             raise
         except Exception as error:  # the library raises many kinds, its own and plain ones
             raise BadFrame(f"not MessagePack: {type(error).__name__} {error}") from None
+        if self.fed - self.whole > FRAME_LIMIT:
+            raise BadFrame("a message does not end")
+        return messages
+
+    def half(self) -> bool:
+        """Whether a message has begun and is not yet whole."""
+        return self.fed > self.whole
 
     def _message(self, frame: Any) -> Message:
         match frame:
             case [0, int(number), str(method), list(given)] if 0 <= number < NUMBER_LIMIT:
-                if method == CHECK:
-                    return Check(number)
                 match given:
+                    case [dict()] if method == CHECK:
+                        return Check(number)
                     case [dict(fields), bytes(body)]:
                         return self._ask(number, method, fields, body)
                 return Unclear(number, "arguments are not fields and a body")
@@ -79,22 +110,23 @@
 
     def _ask(self, number: int, method: str, fields: dict[str, str], body: bytes) -> Message:
         try:
-            since, patience = int(fields["since"]) / 1000, int(fields["allow"]) / 1000
-            size, prio = float(fields["room"]), float(fields["class_rank"])
-            if not (0 < size < SIZE_LIMIT and 0 <= prio < 1 and 0 < patience < 1e6 and 0 < since < 1e11):
+            since, patience = _whole(fields["since"]) / 1000, _whole(fields["allow"]) / 1000
+            size, prio, caller = float(fields["room"]), float(fields["class_rank"]), _whole(fields["sender"])
+            if not (0 < size < SIZE_LIMIT and 0 <= prio < 1 and 0 < patience < PATIENCE_LIMIT
+                    and caller < NUMBER_LIMIT and 0 < since < clock() + SINCE_AHEAD):  # fmt: skip
                 return Unclear(number, "a number is out of bounds")
             tenants = self.names.tenants
             order = Order(
                 id=fields["ref"],
                 type=self.names.op_types[method],
                 tenant=tenants[fields["project"]] if tenants else 0,
-                caller=int(fields["sender"]),
+                caller=caller,
                 since=since,
                 patience=patience,
                 size=size,
                 prio=prio,
-                key=fields.get("replay"),
-                subject=fields.get("lookup"),
+                key=_mark(fields.get("replay")),
+                subject=_mark(fields.get("lookup")),
                 body=body,
             )
         except (KeyError, TypeError, ValueError) as error:
