Calls on connections of their own: a spoilt reply costs no other call

Checked: database.Database had one connection; its sends were awaited in its only loop; a reply was matched by the op's id alone, so that a second copy could be taken for the op's next call. Change: up to 32 connections, each with its own actor, one call at a time while there are enough; none carries two calls of one op; a call that never came back, a reply that stands half said for 0.5 s or can't be read closes its connection; what was never sent counts as never run; at new addresses the old connections are read until their calls are back.

--- a/examples/standins.py
+++ b/examples/standins.py
@@ -167,6 +167,7 @@
         super().__init__()
         self.word = word
         self.heard: list[str] = []
+        self.asked: list[tuple[str, SocketStream]] = []  # calls, and where each came in
 
     async def speak(self, stream: SocketStream) -> None:
         lines = BufferedByteReceiveStream(stream)
@@ -176,6 +177,8 @@
             self._changes()
             if verb == "Q":
                 body = (await lines.receive_exactly(int(rest[1]) + 2))[:-2]
+                self.asked.append((id, stream))
+                self._changes()
                 if self.word == "ROWS":
                     await stream.send(f"{id} ROWS {len(body) + 5}\r\n".encode() + b"rows " + body + b"\r\n")
                 elif self.word:
--- a/thymeyoke/net/database.py
+++ b/thymeyoke/net/database.py
@@ -1,8 +1,14 @@
-"""Calls to the database: one line and a body out, one line and sometimes a body back."""
+"""Calls to the database: one line and a body out, one line and sometimes a body back.
+
+A connection carries one call at a time while there are enough of them: what spoils one reply costs no other.
+"""
 
 from __future__ import annotations
 
 import logging
+import math
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from heapq import heappop, heappush
 from math import ceil
 from typing import NamedTuple
@@ -21,9 +27,13 @@
         "NONE": Outcome.MOOT}  # fmt: skip
 OUTBOX = 1024
 CHUNK = 1 << 16
-REPLY_LIMIT = 1 << 16
-IDLE = 7.0  # the database closes a connection after 10 s: closed here before, no call can meet that
-LOOK = IDLE / 8  # between looks whether the calls that are out have come back
+REPLY_LIMIT, HEAD_LIMIT = 1 << 16, 1 << 8
+MOST = 32  # connections; past that calls share them
+LINE_BOX = 64  # calls that one connection may have unsent
+LIFE = 256  # calls of one connection
+IDLE = 2.0  # the database closes an idle connection, or forgets it: no call should meet that
+LOOK = 0.25  # between looks at what is idle or half said
+HALF_SAID = 0.5  # the rest of a reply does not come any more
 CONNECT = 1.0
 END = b"\r\n"
 
@@ -49,13 +59,13 @@
         replies: list[Back] = []
         while reply := self._one():
             replies.append(reply)
-        if len(self.rest) > REPLY_LIMIT:
-            raise BadReply("a reply is too long")
         return replies
 
     def _one(self) -> Back | None:
         head, end, after = self.rest.partition(END)
-        if not end:
+        if not end or len(head) > HEAD_LIMIT:
+            if len(head) > HEAD_LIMIT:
+                raise BadReply("a line does not end")
             return None
         try:
             id, word, *length = head.decode("ascii").split(" ")
@@ -87,134 +97,194 @@
     since: float
 
 
-class Database:
-    """Keeps calls. `out` is emptied by replies, by what is given up and with the connection."""
+class Line:
+    """One connection and the calls on it. `out` is emptied by replies, by what is given up and with the
+    connection; `carried`, all ops whose calls it ever had, goes with it."""
 
-    def __init__(self, where: Address, desk: MemoryObjectSendStream[Event]) -> None:
-        self.where, self.desk = where, desk
-        self.outbox, self.unsent = anyio.create_memory_object_stream[Call | GiveUp](OUTBOX)
+    def __init__(self, where: Address, over: Callable[[CallOver], Awaitable[None]]) -> None:
+        self.where, self.over, self.reader = where, over, Reader()
+        self.outbox, self.unsent = anyio.create_memory_object_stream[Call | GiveUp](LINE_BOX)
         self.out: dict[str, Out] = {}
-        self.ends: list[tuple[float, str]] = []  # emptied as they pass
-        self.stream: ByteStream | None = None
-        self.used = 0.0
+        self.carried: set[str] = set()
+        self.scope = anyio.CancelScope()
+        self.used = self.heard = clock()
+        self.doubtful = False  # a call on it never came back: it gets no other
 
-    def tell(self, what: Call | GiveUp | Move) -> bool:
-        """Whether it will be tried: a call that is not has not run."""
-        if isinstance(what, Move):  # the old connection is still read: its calls may come back
-            self.where, self.stream = what.where, None
-            return True
+    def takes(self, id: str, where: Address) -> bool:
+        """Replies name an op, not a call: a late one, or a second copy, must not meet the op's next call."""
+        sound = not self.doubtful and self.where == where and len(self.carried) < LIFE
+        return sound and id not in self.carried
+
+    def call(self, call: Call, now: float) -> bool:
         try:
-            self.outbox.send_nowait(what)
+            self.outbox.send_nowait(call)
         except anyio.WouldBlock:
-            log.counts["database_outbox_full"] += 1
             return False
+        self.out[call.id], self.used = Out(call.until, now), now
+        self.carried.add(call.id)
         return True
 
+    def give_up(self, id: str) -> Out | None:
+        """Closing gives up every call; while others are out this one is given up by a word of its own."""
+        out = self.out.pop(id, None)
+        self.doubtful = True
+        if not self.out:
+            self.scope.cancel()
+        elif out:
+            with suppress(anyio.WouldBlock):  # then it runs its course, for nobody
+                self.outbox.send_nowait(GiveUp(id))
+        return out
+
+    def done(self, now: float, where: Address) -> bool:
+        """Whether it is of no more use: idle, not to be trusted, at an old address, or stuck in a reply."""
+        stuck = self.reader.rest and now > self.heard + HALF_SAID
+        useless = now > self.used + IDLE or not self.takes("", where)
+        return bool(stuck or (useless and not self.out))
+
     async def run(self) -> None:
+        stream, sent, unsent = None, False, set[str]()
         try:
-            async with anyio.create_task_group() as tasks:
-                await self._run(tasks)
-        finally:
-            await self._close()
-
-    async def _close(self) -> None:
-        if self.stream:
-            stream, self.stream = self.stream, None
-            await anyio.aclose_forcefully(stream)
-
-    async def _run(self, tasks: TaskGroup) -> None:
-        while True:
-            now = clock()
-            moment = self.ends[0][0] if self.ends else now + IDLE
-            if self.stream:  # with calls out it is not idle, but may become so without a word from the desk
-                moment = min(moment, max(self.used + IDLE, now + LOOK * bool(self.out)))
-            what = None
-            with anyio.move_on_after(max(0.0, moment - now)):
-                what = await self.unsent.receive()
-            if what is not None:  # outside the scope: the time-out would cut a call that is being sent
-                await self._make(tasks, what)
-            await self._pass(clock())
-
-    async def _make(self, tasks: TaskGroup, what: Call | GiveUp) -> None:
-        try:
-            await self._do(tasks, what)
+            with self.scope:
+                with anyio.fail_after(CONNECT):
+                    stream = await anyio.connect_tcp(self.where.host, self.where.port)
+                sent = True
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._write, stream)
+                    await self._read(stream)
+        except (OSError, TimeoutError):
+            log.counts["database_unreached"] += 1
         except Exception as error:
             log.counts["database_error"] += 1
-            log.say(logging.ERROR, "call not made", error)
-            await self._over(what.id, Outcome.CUT)
-
-    async def _do(self, tasks: TaskGroup, what: Call | GiveUp) -> None:
-        now = clock()
-        if isinstance(what, GiveUp):
-            if self.out.pop(what.id, None):
-                await self._send(encode(what, now))
-            return
-        self.out[what.id] = Out(what.until, now)
-        heappush(self.ends, (what.until, what.id))
-        if self.stream is None and not await self._open(tasks):
-            return await self._unreached()
-        await self._send(encode(what, now))
-
-    async def _unreached(self) -> None:
-        """What waits behind a failed connect is not made to wait for as many more."""
-        for what in waiting(self.unsent):
-            if isinstance(what, Call):
-                self.out[what.id] = Out(what.until, clock())
+            log.say(logging.ERROR, "database connection ends", error)
+        finally:
+            unsent = {what.id for what in waiting(self.unsent)}
+            self.outbox.close()
+            self.unsent.close()
+            if stream:
+                await anyio.aclose_forcefully(stream)
+        await self._lost(sent, unsent)
+
+    async def _lost(self, sent: bool, unsent: set[str]) -> None:
+        """A connection that breaks during a call proves nothing about it, but for what was never sent."""
+        log.counts["database_cut"] += bool(self.out) and sent
         for id in list(self.out):
-            await self._over(id, Outcome.UNREACHED)
-
-    async def _open(self, tasks: TaskGroup) -> bool:
-        try:
-            with anyio.fail_after(CONNECT):
-                self.stream = await anyio.connect_tcp(self.where.host, self.where.port)
-        except (OSError, TimeoutError):
-            log.counts["database_unreached"] += 1
-            return False
-        tasks.start_soon(self._read, self.stream)
-        return True
+            await self._over(id, Outcome.CUT if sent and id not in unsent else Outcome.UNREACHED)
 
-    async def _send(self, data: bytes) -> None:
-        if self.stream is None:
-            return
-        self.used = clock()
+    async def _write(self, stream: ByteStream) -> None:
         try:
-            await self.stream.send(data)
+            async for first in self.unsent:
+                batch = [first, *waiting(self.unsent)]
+                now = clock()
+                await stream.send(b"".join(encode(what, now) for what in batch))
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
-            await self._lost(self.stream)
+            self.scope.cancel()
 
     async def _read(self, stream: ByteStream) -> None:
-        reader = Reader()
         try:
             while True:
-                for back in reader.feed(await stream.receive(CHUNK)):
+                data = await stream.receive(CHUNK)
+                self.heard = clock()
+                for back in self.reader.feed(data):
                     await self._over(back.id, back.outcome, back.body)
         except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
             pass
         except BadReply as error:
             log.counts["database_bad_reply"] += 1
-            log.say(logging.WARNING, "database connection dropped", why=str(error))
-        await self._lost(stream)
+            log.of_peer("database connection dropped", why=str(error))
+        self.scope.cancel()
 
-    async def _lost(self, stream: ByteStream) -> None:
-        """A connection that breaks during a call proves nothing about it."""
-        if self.stream is not stream:
+    async def _over(self, id: str, outcome: Outcome, body: bytes = b"") -> None:
+        out = self.out.pop(id, None)
+        if out is None:  # to a call given up, a second copy, or nobody's
+            log.counts["database_foreign_reply"] += 1
             return
-        await self._close()
-        if self.out:
-            log.counts["database_cut"] += 1
-        for id in list(self.out):
-            await self._over(id, Outcome.CUT)
+        self.used = clock()
+        await self.over(CallOver(id, outcome, body, self.used - out.since))
 
-    async def _over(self, id: str, outcome: Outcome, body: bytes = b"") -> None:
-        if out := self.out.pop(id, None):
-            await post(self.desk, CallOver(id, outcome, body, clock() - out.since))
+
+class Database:
+    """Keeps calls. `lines` is emptied as connections end, `calls` as calls do."""
+
+    def __init__(self, where: Address, desk: MemoryObjectSendStream[Event]) -> None:
+        self.where, self.desk = where, desk
+        self.outbox, self.unsent = anyio.create_memory_object_stream[Call | GiveUp](OUTBOX)
+        self.lines: set[Line] = set()
+        self.calls: dict[str, Line] = {}
+        self.ends: list[tuple[float, str]] = []  # emptied as they pass
+        self.next_look = 0.0
+
+    def tell(self, what: Call | GiveUp | Move) -> bool:
+        """Whether it will be tried: a call that is not has not run."""
+        if isinstance(what, Move):  # the old connections are still read: their calls may come back
+            self.where = what.where
+            return True
+        try:
+            self.outbox.send_nowait(what)
+        except anyio.WouldBlock:
+            log.counts["database_outbox_full"] += 1
+            return False
+        return True
+
+    async def run(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            while True:
+                moments = [self.ends[0][0]] if self.ends else []
+                moments += [self.next_look] if self.lines else []
+                what = None
+                with anyio.move_on_after(max(0.0, min(moments) - clock()) if moments else math.inf):
+                    what = await self.unsent.receive()
+                now = clock()
+                for each in [what, *waiting(self.unsent)] if what else []:
+                    await self._make(tasks, now, each)
+                await self._pass(now)
+
+    async def _make(self, tasks: TaskGroup, now: float, what: Call | GiveUp) -> None:
+        if isinstance(what, GiveUp):
+            if line := self.calls.pop(what.id, None):
+                line.give_up(what.id)
+            return
+        line = self._line(what.id, now) or self._open(tasks)
+        if not line.call(what, now):
+            return await self._over(CallOver(what.id, Outcome.UNREACHED, b"", 0.0))
+        self.calls[what.id] = line
+        heappush(self.ends, (what.until, what.id))
+
+    def _line(self, id: str, now: float) -> Line | None:
+        """The idle connection that was used last, else a new one; at the most of them, the least busy."""
+        fit = [line for line in self.lines if line.takes(id, self.where)]
+        idle = [line for line in fit if not line.out and now <= line.used + IDLE]
+        if idle:
+            return max(idle, key=lambda line: line.used)
+        if len(self.lines) < MOST:
+            return None
+        return min(fit or self.lines, key=lambda line: len(line.out))
+
+    def _open(self, tasks: TaskGroup) -> Line:
+        line = Line(self.where, self._over)
+        self.lines.add(line)
+        tasks.start_soon(self._keep, line)
+        return line
+
+    async def _keep(self, line: Line) -> None:
+        try:
+            await line.run()
+        finally:
+            self.lines.discard(line)
+
+    async def _over(self, end: CallOver) -> None:
+        self.calls.pop(end.id, None)
+        await post(self.desk, end)
 
     async def _pass(self, now: float) -> None:
-        """Give up calls whose time is over, and close what is idle."""
+        """Give up calls whose time is over, and connections that are of no more use."""
         while self.ends and self.ends[0][0] <= now:
             until, id = heappop(self.ends)
-            if (out := self.out.get(id)) and out.until <= until:
-                await self._send(encode(GiveUp(id), now))
-                await self._over(id, Outcome.TIMEOUT)
-        if not self.out and now >= self.used + IDLE:
-            await self._close()
+            line = self.calls.get(id)
+            if line and (out := line.out.get(id)) and out.until <= until:
+                line.give_up(id)
+                await self._over(CallOver(id, Outcome.TIMEOUT, b"", now - out.since))
+        if now >= self.next_look:
+            self.next_look = now + LOOK
+            for line in list(self.lines):
+                if line.done(now, self.where):
+                    line.scope.cancel()
