A database connection that is being closed gets no call

Checked: as many call_timeout as restarts, all of calls that went under in one; the log showed the task group's own words only, log.place now tells the first error inside. Ruled out: time-outs themselves, by a probe. Lines at fault: Line.call met a mailbox closed by Line.run while the line still stood in Database.lines; the error ended the calls' actor and with it every call that was out.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -509,6 +509,29 @@
             await asked[1][1].send(f"{id} ROWS 1\r\n2\r\n".encode())
             self.assertEqual((await router.answer(number))[1][0], b"did x with 1 with 2")
 
+    async def test_a_connection_that_is_being_closed_gets_no_call(self) -> None:
+        """A call given to one once ended the whole actor, and all calls that were out with it."""
+        inbox, events = anyio.create_memory_object_stream[mail.Event](8)
+        base = Database(None)
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(base.run)
+            calls = database.Database(start.Address("127.0.0.1", base.port), inbox)
+            tasks.start_soon(calls.run)
+            with mock.patch.object(database.Line, "_lost", lambda *_: anyio.sleep_forever()):
+                calls.tell(mail.Call("a", time.time() + 9, b"x"))
+                await base.until(lambda: base.asked)
+                await base.cut()
+                with anyio.fail_after(2):
+                    while not (line := next(iter(calls.lines))).doubtful:
+                        await anyio.sleep(0)
+                await anyio.sleep(0.05)  # its mailbox is closed; it has not ended yet
+                line.out.clear()
+                calls.tell(mail.Call("b", time.time() + 9, b"x"))
+                await base.until(lambda: len(base.asked) == 2)
+            tasks.cancel_scope.cancel()
+        for mailbox in (inbox, events, calls.outbox, calls.unsent):
+            mailbox.close()
+
     async def test_an_idle_database_connection_is_closed_here(self) -> None:
         with mock.patch.multiple(database, IDLE=0.05, LOOK=0.01):
             async with place() as here:
--- a/thymeyoke/net/database.py
+++ b/thymeyoke/net/database.py
@@ -118,7 +118,7 @@
     def call(self, call: Call, now: float) -> bool:
         try:
             self.outbox.send_nowait(call)
-        except anyio.WouldBlock:
+        except (anyio.WouldBlock, anyio.ClosedResourceError):
             return False
         self.out[call.id], self.used = Out(call.until, now), now
         self.carried.add(call.id)
@@ -129,12 +129,17 @@
         out = self.out.pop(id, None)
         self.doubtful = True
         if not self.out:
-            self.scope.cancel()
+            self.end()
         elif out:
             with suppress(anyio.WouldBlock):  # then it runs its course, for nobody
                 self.outbox.send_nowait(GiveUp(id))
         return out
 
+    def end(self) -> None:
+        """It is closed, and gets no call while that takes its moment."""
+        self.doubtful = True
+        self.scope.cancel()
+
     def done(self, now: float, where: Address) -> bool:
         """Whether it is of no more use: idle, not to be trusted, at an old address, or stuck in a reply."""
         stuck = self.reader.rest and now > self.heard + HALF_SAID
@@ -177,7 +182,7 @@
                 now = clock()
                 await stream.send(b"".join(encode(what, now) for what in batch))
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
-            self.scope.cancel()
+            self.end()
 
     async def _read(self, stream: ByteStream) -> None:
         try:
@@ -191,7 +196,7 @@
         except BadReply as error:
             log.counts["database_bad_reply"] += 1
             log.of_peer("database connection dropped", why=str(error))
-        self.scope.cancel()
+        self.end()
 
     async def _over(self, id: str, outcome: Outcome, body: bytes = b"") -> None:
         out = self.out.pop(id, None)
@@ -287,4 +292,4 @@
             self.next_look = now + LOOK
             for line in list(self.lines):
                 if line.done(now, self.where):
-                    line.scope.cancel()
+                    line.end()
--- a/thymeyoke/net/log.py
+++ b/thymeyoke/net/log.py
@@ -30,6 +30,8 @@
 
 def place(error: BaseException) -> str:
     """An exception's type, text and place, on one line."""
+    while isinstance(error, BaseExceptionGroup):  # of a task group: the first error in it tells more
+        error = error.exceptions[0]
     trace = error.__traceback__
     while trace and trace.tb_next:
         trace = trace.tb_next
