A call that never comes back tells nothing of the calls that do

Calls.watch took the age of each call that was out into the recent mean ten times a second: one lost call of a second made all calls slow, by SLOW_CALLS and CROWDED_CALLS, so that each op that makes calls was predicted to miss and the window closed. Change: a call out counts with its age only as far as no call came back since. Guards against any single call that hangs; a dependency that hangs whole is told as before. Harm: one that hangs for part of its callers is told by time-outs only.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -401,9 +401,23 @@
         calls = Server(dependency=facts.Dependency(facts.Below.SHARED, 10.0, 5.0, 0.2)).yoke.calls
         for took, window in [(0.02, 8.5), (0.2, 1.0), (0.02, 8.5)]:
             for _ in range(100):
-                calls.learn(took)
+                calls.learn(0.0, took)
             self.assertAlmostEqual(calls.window, window, places=1)
 
+    def test_a_call_that_never_comes_back_does_not_make_the_rest_slow(self) -> None:
+        """One alone once had all ops nacked that make calls; where nothing comes back all are slow."""
+        for others, slow in [(True, False), (False, True)]:
+            with self.subTest(others=others):
+                server = Server()
+                self.blocked(server, 0)
+                calls = server.yoke.calls
+                for _ in range(20):
+                    server.now += 0.05
+                    if others or not calls.usual:
+                        calls.learn(server.now, 0.02)
+                    server.beat(0.05)
+                self.assertEqual(calls.slow(), slow)
+
     def test_a_call_is_given_up_while_a_poorer_answer_is_in_time(self) -> None:
         for kind, until in [(0, 105.94), (3, 102.0)]:
             with self.subTest(kind=kind):
--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -161,7 +161,7 @@
         self.linger_span, self.fair_span = dependency.linger, dependency.fair_span
         self.waiting: list[Job] = []  # emptied as calls go out or are given up
         self.lingering: deque[float] = deque()  # ends of abandoned calls; emptied as they pass
-        self.out, self.mean, self.seen = 0, 0.0, now
+        self.out, self.mean, self.seen, self.back = 0, 0.0, now, now  # back: when the last one came back
         self.usual = self.recent = 0.0  # times of calls; 0 until the first is back
 
     def book(self, now: float) -> None:
@@ -177,20 +177,21 @@
         hands = self.out + len(self.lingering)
         return hands + 1 <= self.window if self.bound >= 1 else not hands and self.mean < self.bound / 2
 
-    def learn(self, took: float) -> None:
+    def learn(self, now: float, took: float) -> None:
         """The usual time is the lowest recent mean: single calls differ too much to tell slowness from."""
-        self.recent += (2 * NEWEST if self.usual else 1.0) * (took - self.recent)
+        self.back, new = now, 2 * NEWEST if self.usual else 1.0
+        self.recent += new * (took - self.recent)
         self.usual = min(self.recent, (self.usual or took) + NEWEST / 100 * (self.recent - self.usual))
         # What lies below does less when crowded: slow calls that keep it crowded would keep themselves slow.
         # Harm: where it is slow for other reasons, fewer calls are made than it could take.
         narrow = self.recent > CROWDED_CALLS * self.usual
         self.window = max(1.0, min(self.bound, self.window + (-self.window if narrow else 1) * NEWEST))
 
-    def watch(self, ages: list[float]) -> None:
-        """Calls that are out longer than the recent mean count before they end: some never do. With none out
-        the mean falls back, so that calls are tried again."""
+    def watch(self, now: float, ages: list[float]) -> None:
+        """Calls out for longer than the recent mean count before they end, if none came back since: one that
+        is lost tells nothing of the rest. With none out the mean falls back: calls are tried again."""
         for age in ages:
-            self.recent += 2 * NEWEST * max(0.0, age - self.recent)
+            self.recent += 2 * NEWEST * max(0.0, min(age, now - self.back) - self.recent)
         if not self.out and not self.waiting:
             self.recent += NEWEST * (self.usual - self.recent)
 
@@ -308,7 +309,7 @@
         if outcome is Outcome.TIMEOUT:
             self.calls.lingering.append(now + self.calls.linger_span)
         if outcome not in facts.NEVER_RAN:
-            self.calls.learn(took)
+            self.calls.learn(now, took)
         if outcome is Outcome.OK:
             return
         if (job.kind.repeat is Repeat.RETRYABLE or outcome in facts.NEVER_RAN) and job.tries < CALL_TRIES:
@@ -348,7 +349,7 @@
         for kind, mean, patience in zip(self.kinds, self.pace.runs, self.patience, strict=True):
             if mean and (wait := patience - sum(mean[:3])) > 0:  # what this machine can do at all
                 self.stands[kind.importance] = min(wait, self.stands.get(kind.importance, wait))
-        self.calls.watch([now - job.since for job in self.jobs.values() if job.at is At.CALLING])
+        self.calls.watch(now, [now - job.since for job in self.jobs.values() if job.at is At.CALLING])
         # Where some must miss, oldest first spends the cores on whoever asked first, and short targets are
         # never met behind long ones. Harm: what matters least waits longest, and is nacked for it.
         queueing = self._queueing(now)
