--- a/examples/standins.py
+++ b/examples/standins.py
@@ -186,7 +186,7 @@
 
 
 class Roster(StandIn):
-    """Takes reports, or answers them with another `status`."""
+    """Takes reports, or answers them with another `status`; with 0 not at all."""
 
     def __init__(self, status: int = 204) -> None:
         super().__init__()
@@ -205,6 +205,9 @@
                 body += event.data
             elif isinstance(event, h11.EndOfMessage):
                 self.reports.append((target.decode(), orjson.loads(body)["serving"]))
+                self._changes()
+                if not self.status:
+                    await anyio.sleep_forever()
                 head = h11.Response(status_code=self.status, headers=[])
                 await stream.send((http.send(head) or b"") + (http.send(h11.EndOfMessage()) or b""))
                 self._changes()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -235,6 +235,52 @@
         self.assertIsNone(keys.find((0, "t"), 51.0))
 
 
+class AtTheDesk(unittest.IsolatedAsyncioTestCase):
+    """The module's actor alone: what it hears is put in, what it tells its peers is kept."""
+
+    def setUp(self) -> None:
+        self.desk = desk.Desk(2.0, start.start(7, told()["settings"]))
+        self.processor = mock.Mock()
+        self.desk.meet(mock.Mock(), self.processor, mock.Mock(), mock.Mock())
+        self.addCleanup(self.desk.events.close)
+        self.addCleanup(self.desk.inbox.close)
+
+    def order(self, at: int) -> mail.Arrived:
+        order = mail.Order(f"{at:016x}", 0, 0, 1, time.time(), 2.0, 9.0, 0.5, None, None, b"")
+        return mail.Arrived(mock.Mock(), at, order)
+
+    def begins(self) -> int:
+        return sum(isinstance(call.args[0], mail.Begin) for call in self.processor.tell.call_args_list)
+
+    def test_what_a_lost_link_swallowed_is_sent_again_though_the_next_is_lost_too(self) -> None:
+        """And what went out long before the loss is not: its run may end just now."""
+        now = time.time()
+        for long_before, begins in [(0.0, 2), (2 * desk.LOST_SPAN, 1)]:
+            self.setUp()
+            for event in (mail.Up(False, 0.0), mail.Synced(1), self.order(1)):
+                self.desk._hear(now, event)
+            self.desk._settle(now)
+            for event in (mail.Down(), mail.Down(), mail.Synced(3)):
+                now += max(long_before, 1.0 * isinstance(event, mail.Synced))
+                self.desk._hear(now, event)
+            self.assertEqual(self.begins(), begins)
+
+    async def test_events_gather_in_a_crowd(self) -> None:
+        """Few are heard at once, one by one; many wait for a tick, in which more come: one settle for all."""
+        for at_once, settles in [(1, 8), (desk.CROWD, 2)]:
+            self.setUp()
+            self.desk.tick = 0.05
+            with mock.patch.object(self.desk, "_settle", side_effect=lambda now: None) as settle:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self.desk.run)
+                    for _ in range(8 // at_once):
+                        for _ in range(at_once):
+                            self.desk.inbox.send_nowait(mail.Gauges(()))
+                        await anyio.sleep(0.06 if at_once > 1 else 0.01)
+                    tasks.cancel_scope.cancel()
+            self.assertEqual(settle.call_count, settles)
+
+
 class OnSockets(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         log.counts.clear()
@@ -609,6 +655,11 @@
             with anyio.fail_after(3):
                 await here.ended.wait()
 
+    async def test_an_unanswered_report_puts_off_none(self) -> None:
+        with mock.patch.multiple("thymeyoke.net.roster", PERIOD=0.2, TIMEOUT=0.19):
+            async with place(roster=Roster(0)) as here:
+                await here.roster.until(lambda: len(here.roster.reports) == 6, within=1.5)
+
     async def test_a_drain_answers_all_and_ends_in_time(self) -> None:
         async with place(Processor(held=True)) as here:
             busy, idle = await here.router(), await here.router()
