--- a/thymeyoke/net/database.py
+++ b/thymeyoke/net/database.py
@@ -147,7 +147,7 @@
         return bool(stuck or (useless and not self.out))
 
     async def run(self) -> None:
-        stream, sent, unsent = None, False, set[str]()
+        stream, sent = None, False
         try:
             with self.scope:
                 with anyio.fail_after(CONNECT):
