Operators' file, and the first whole BGP speaker behind the desk, off by default

Need: routers in front of other installations follow BGP; an address stayed announced while its instance refused.

--- a/examples/toy.py
+++ b/examples/toy.py
@@ -1,5 +1,9 @@
 """A toy to try a server with: what stands around it, and a router that sends a few ops.
 
+    python -m examples.toy try
+
+does all of it, and ends what it started. By hand:
+
     python -m examples.toy around &
     python -m thymeyoke serve --config examples/start.json &
     python -m examples.toy send --ops 20
@@ -7,6 +11,11 @@
 
 from __future__ import annotations
 
+import socket
+import subprocess
+import sys
+import time
+from contextlib import ExitStack, suppress
 from pathlib import Path
 from secrets import token_hex
 
@@ -71,5 +80,55 @@
     click.echo(f"{ops - failed} acked, {failed} nacked or failed")
 
 
+@main.command("try")
+@start_file
+@click.option("--ops", default=20, type=click.IntRange(1, 32), help="How many, all at once.")
+def try_(config: Path, ops: int) -> None:
+    """All of it at once: what stands around, the server, ops with their answers, the notice to leave.
+
+    \b
+    Example: python -m examples.toy try --ops 32
+    """
+    python = [sys.executable, "-m"]
+    given = ["--config", str(config)]
+    with ExitStack() as stack:
+
+        def begin(*command: str) -> subprocess.Popen[bytes]:
+            child = subprocess.Popen([*python, *command, *given])
+            stack.callback(_end, child)
+            return child
+
+        begin("examples.toy", "around")
+        server = begin("thymeyoke", "serve")
+        station = start.read(config)[0]
+        if not _reached(station.listen, server):
+            raise click.ClickException(f"no server came up at {station.listen}; is the port taken?")
+        time.sleep(0.5)  # until the processor's link is up
+        sent = subprocess.run([*python, "examples.toy", "send", "--ops", str(ops), *given]).returncode
+        server.terminate()
+        code = server.wait(station.stop + 5)
+    click.echo(f"the server left with code {code}")
+    sys.exit(sent or code)
+
+
+def _reached(where: start.Address, server: subprocess.Popen[bytes]) -> bool:
+    for _ in range(100):
+        if server.poll() is not None:
+            return False
+        with suppress(OSError), socket.create_connection(where, 1.0):
+            return True
+        time.sleep(0.1)
+    return False
+
+
+def _end(child: subprocess.Popen[bytes]) -> None:
+    child.terminate()
+    try:
+        child.wait(5)
+    except subprocess.TimeoutExpired:
+        child.kill()
+        child.wait()
+
+
 if __name__ == "__main__":
     main(prog_name="examples.toy")
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,2 @@
+"""Outside systems as stand-ins, scripted from their published specifications; docs name each. Loopback
+only."""
--- a/tests/server.py
+++ b/tests/server.py
@@ -4,7 +4,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import Any
 
@@ -103,7 +103,7 @@
         self.tasks, self.processor, self.database, self.roster = tasks, processor, database, roster
         self.ended = anyio.Event()
 
-    async def serve(self, changed: dict[str, Any]) -> None:
+    async def serve(self, changed: dict[str, Any], orders: Callable[[], dict[str, Any]]) -> None:
         addresses = {"listen": 0, "processor": self.processor.port, "db": self.database.port,
                      "naming": self.roster.port}  # fmt: skip
         given = told(**{name: f"127.0.0.1:{port}" for name, port in addresses.items()} | changed)
@@ -116,7 +116,7 @@
         async def run(*, task_status: Any) -> None:
             await server.serve(
                 start.station(given), start.names(given["settings"]), start.start(7, given["settings"]),
-                again, task_status=task_status)  # fmt: skip
+                again, orders, task_status=task_status)  # fmt: skip
             self.ended.set()
 
         self.start: dict[str, Any] | start.BadStart = given  # what the start file says when it is read again
@@ -129,14 +129,14 @@
 @asynccontextmanager
 async def place(
     processor: Processor | None = None, database: Database | None = None, roster: Roster | None = None,
-    **changed: Any,
+    orders: Callable[[], dict[str, Any]] = dict, **changed: Any,
 ) -> AsyncIterator[Place]:  # fmt: skip
     """A server on free ports, up if its processor is; all of it is taken down at the end."""
     async with anyio.create_task_group() as tasks:
         here = Place(tasks, processor or Processor(), database or Database(), roster or Roster())
         for around in (here.processor, here.database, here.roster):
             await tasks.start(around.run)
-        await here.serve(changed)
+        await here.serve(changed, orders)
         if here.processor.up.is_set():
             await here.processor.until(lambda: any(said["event"] == "usage" for said in here.processor.heard))
         with anyio.fail_after(20):
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,196 @@
+"""Cases against the operators' file: what is taken, what is turned away in which words; the command line."""
+
+from __future__ import annotations
+
+import logging
+import subprocess
+import sys
+import tempfile
+import unittest
+from ipaddress import ip_address, ip_network
+from pathlib import Path
+
+import orjson
+
+from examples.toy import START
+from thymeyoke import orders
+from thymeyoke.announce.section import Announce, HostPort, Peer
+from thymeyoke.net import log
+
+GOOD = """
+[announce]
+as = 64512
+id = 192.0.2.1
+addresses = 198.51.100.7/32, 2001:db8::7/128
+next_hop = 192.0.2.1, 2001:db8::1
+least_others = 1
+[announce.peer tor-1]
+address = 127.0.0.1:1790
+as = 64500
+hold = 3
+"""
+PEER = "[announce.peer tor-1]"
+BAD = [  # what is changed, into what, and what the one sentence then says behind the file's name
+    ("hold = 3", "hold = 2", f"{PEER} hold: '2' can't be used; give whole seconds from 3 to 65535"),
+    ("hold = 3", "hold = soon", f"{PEER} hold: 'soon' can't be used; give whole seconds from 3 to 65535"),
+    ("hold = 3", "hodl = 3", f"{PEER} hodl: no such option; there are address, as, hold, min_ttl, passive, "
+     "password, source"),
+    ("hold = 3", "hold = 3\nhold = 4", f"{PEER} hold: stands twice; keep one"),
+    ("hold = 3", PEER, f"{PEER} stands twice; give each its own name"),
+    ("hold = 3", "[announce.peer  tor-1]", f"{PEER} stands twice; give each its own name"),
+    ("hold = 3", "[announce.peer b]\naddress = 127.0.0.1:1790\nas = 1", "[announce.peer b] address: is "
+     "that of "
+     "peer tor-1 as well; give each peer its own"),
+    ("hold = 3", "passive = true", f"{PEER} passive: needs a listener; give [announce] listen, or passive "
+     f"= false"),
+    ("hold = 3", "passive = maybe", f"{PEER} passive: 'maybe' can't be used; give true or false"),
+    ("hold = 3", "source = ::1", f"{PEER} source: is not of the family of 127.0.0.1:1790; give an address "
+     f"of that"),
+    ("hold = 3", f"password = {'x' * 81}", f"{PEER} password: what is given can't be used; give 1 to 80 "
+     f"characters"),
+    ("hold = 3", "[ledger]", "[ledger] no such section; there are announce"),
+    ("hold = 3", "[announce.pear x]", "[announce.pear x] no such section; give [announce.peer NAME]"),
+    ("as = 64500", "", f"{PEER} as: is missing; give an AS number from 1 to 4294967294"),
+    ("as = 64512", "as = 0", "[announce] as: '0' can't be used; give an AS number from 1 to 4294967294"),
+    ("127.0.0.1:1790", "localhost:179", f"{PEER} address: 'localhost:179' can't be used; give an IP "
+     f"address and "
+     "a port, as 192.0.2.9:179 or [2001:db8::9]:179"),
+    ("id = 192.0.2.1", "id = 0.0.0.0", "[announce] id: '0.0.0.0' can't be used; give an IPv4 address "
+     "other than "
+     "0.0.0.0"),
+    ("7/32", "7/24", "[announce] addresses: '198.51.100.7/24, 2001:db8::7/128' can't be used; give "
+     "prefixes, host "
+     "bits zero, separated by commas, as 198.51.100.7/32, 2001:db8::7/128"),
+    ("7/32,", "7/32, 198.51.100.7/32,", "[announce] addresses: holds one address twice; keep one"),
+    (", 2001:db8::1", "", "[announce] next_hop: has none for 2001:db8::7/128; add an IPv6 address"),
+    (", 2001:db8::1", ", 192.0.2.2", "[announce] next_hop: holds two of one family; give one IP address "
+     "for each "
+     "family announced"),
+    ("least_others = 1", "less = luck", "[announce] less: 'luck' can't be used; give one or more of "
+     "graceful_shutdown, med, prepend"),
+    (GOOD[GOOD.index("[announce.peer"):], "", "[announce] has no peer; add a section [announce.peer NAME]"),
+    ("[announce]\n", "", "line 2 can't be read; write [section] lines, and option = value under them"),
+    (GOOD[:GOOD.index("[announce.peer")], "", "[announce.peer tor-1] stands without [announce]; add that "
+     "section"),
+    (PEER, "[announce.peer b]\naddress = 127.0.0.1:2\nas = 1\npassive = yes\n" + PEER + "\npassive = yes",
+     "[announce.peer b] passive: 'yes' can't be used; give true or false"),
+    (PEER, "listen = 127.0.0.1:1\n[announce.peer b]\naddress = 127.0.0.1:2\nas = 1\npassive = true\n" + PEER
+     + "\npassive = true", f"{PEER} passive: is true for peer b at the same IP address; only one can be"),
+    ("[announce]\n", "[announc]\n", "[announc] no such section; there are announce"),
+]  # fmt: skip
+
+
+def written(text: str | bytes) -> Path:
+    with tempfile.NamedTemporaryFile("wb", suffix=".ini", delete=False) as file:
+        file.write(text if isinstance(text, bytes) else text.encode())
+    return Path(file.name)
+
+
+class Orders(unittest.TestCase):
+    def read(self, text: str | bytes) -> orders.Orders:
+        path = written(text)
+        self.addCleanup(path.unlink)
+        self.path = path
+        return orders.read(path)
+
+    def test_a_good_file_is_typed_values(self) -> None:
+        peer = Peer("tor-1", HostPort.parse("127.0.0.1:1790"), 64500, 3)
+        addresses = (ip_network("198.51.100.7/32"), ip_network("2001:db8::7/128"))
+        hops = (ip_address("192.0.2.1"), ip_address("2001:db8::1"))
+        self.assertEqual(
+            self.read(GOOD), {"announce": Announce(64512, ip_address("192.0.2.1"), addresses, hops, (peer,))}
+        )
+        self.assertEqual(self.read(""), {})
+
+    def test_the_file_that_is_shipped_is_all_off_and_good_when_on(self) -> None:
+        shipped = Path(__file__).parents[1] / "deploy" / "service.ini"
+        self.assertEqual(orders.read(shipped), {})
+        on = "\n".join(line.removeprefix("; ") for line in shipped.read_text().splitlines())
+        read = self.read(on)["announce"]
+        defaults = {
+            name: getattr(read, name) for name in ("least_others", "less", "med", "settle", "changes")
+        }
+        self.assertEqual(
+            defaults,
+            {
+                "least_others": 1,
+                "less": ("graceful_shutdown", "med"),
+                "med": 1000,
+                "settle": 1.0,
+                "changes": 6,
+            },
+        )
+        every = {field for kind in (Announce, Peer) for field in kind.__struct_encode_fields__} - {
+            "name",
+            "peers",
+        }
+        self.assertEqual({name for name in every if f"; {name} = " not in shipped.read_text()}, set())
+
+    def test_what_cannot_be_taken_is_one_sentence(self) -> None:
+        for old, new, said in BAD:
+            self.assertIn(old, GOOD)
+            with self.subTest(new=new):
+                with self.assertRaises(orders.BadOrders) as caught:
+                    self.read(GOOD.replace(old, new, 1))
+                self.words(str(caught.exception), said)
+        for garbage in (b"\xff\xfe", b"no section\n", b"[announce\n", b"[announce]\nas\n"):
+            with self.subTest(garbage=garbage):
+                with self.assertRaises(orders.BadOrders) as caught:
+                    self.read(garbage)
+                self.words(str(caught.exception))
+        with self.assertRaisesRegex(orders.BadOrders, "cannot be read: No such file"):
+            orders.read(Path("/nonexistent/service.ini"))
+
+    def words(self, text: str, said: str | None = None) -> None:
+        self.assertTrue(text.startswith(f"{self.path}: "), text)
+        self.assertNotIn("\n", text)
+        if said:
+            self.assertEqual(text.removeprefix(f"{self.path}: "), said)
+
+    def run_it(self, *command: str) -> subprocess.CompletedProcess[str]:
+        return subprocess.run(
+            [sys.executable, "-m", "thymeyoke", *command], capture_output=True, text=True, timeout=20
+        )
+
+    def test_the_command_line(self) -> None:
+        good, bad = written(GOOD), written(GOOD.replace("hold = 3", "hold = 1"))
+        self.addCleanup(good.unlink)
+        self.addCleanup(bad.unlink)
+        done = self.run_it("check", "--config", str(START), "--orders", str(good))
+        self.assertEqual((done.returncode, done.stderr), (0, ""))
+        self.assertIn("announces 198.51.100.7/32, 2001:db8::7/128 as AS 64512, 192.0.2.1\n", done.stdout)
+        sentence = f"Error: {bad}: {PEER} hold: '1' can't be used; give whole seconds from 3 to 65535\n"
+        for command in ("check", "serve"):
+            done = self.run_it(command, "--config", str(START), "--orders", str(bad))
+            self.assertEqual((done.returncode, done.stdout, done.stderr), (2, "", sentence))
+        done = self.run_it("announce", "show", "--control", "/nonexistent/socket")
+        self.assertEqual((done.returncode, done.stdout), (1, ""))
+        self.assertRegex(
+            done.stderr, "^Error: no server with .announce. answers at /nonexistent/socket .*\n$"
+        )
+
+    def test_what_is_off_is_not_imported(self) -> None:
+        code = (
+            "import sys, thymeyoke.__main__, thymeyoke.net.server, thymeyoke.start\n"
+            "print([name for name in sys.modules if name.startswith(('thymeyoke.announce', "
+            "'thymeyoke.orders', "
+            "'msgspec', 'configparser'))])"
+        )
+        done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=20)
+        self.assertEqual(done.stdout, "[]\n", done.stderr)
+
+
+class Lines(unittest.TestCase):
+    def test_both_forms_say_the_same(self) -> None:
+        def line(form: logging.Formatter) -> str:
+            record = logging.LogRecord("thymeyoke", logging.INFO, "", 0, "up", None, None)
+            record.created, record.pairs = 12.5, {"age": 0.25, "name": 'a "b"\nc', "port": 7}
+            return form.format(record)
+
+        self.assertEqual(
+            line(log.KeyValue()), "at=12.500 level=info what=up age=0.25 name=\"a 'b'\\nc\" port=7"
+        )
+        self.assertEqual(
+            orjson.loads(line(log.Json())),
+            {"at": 12.5, "level": "info", "what": "up", "age": 0.25, "name": 'a "b"\nc', "port": 7},
+        )
--- /dev/null
+++ b/thymeyoke/announce/control.py
@@ -0,0 +1,94 @@
+"""What is told to people: a Unix socket that answers each connection with one JSON document and closes.
+
+It goes with the process: a status file would tell of a server that is dead.
+"""
+
+from __future__ import annotations
+
+import logging
+import os
+import socket
+import tempfile
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import anyio
+import orjson
+from anyio.abc import SocketStream
+
+from thymeyoke.net import log
+
+AT_ONCE = 4  # questions; the next ones are closed unanswered
+WITHIN = 1.0  # seconds that one may take
+
+
+class Unanswered(Exception):
+    """Nobody answers there; the text is for people."""
+
+
+def path(told: str | None) -> Path:
+    """Where the socket is: as told, else in the folder for temporary files."""
+    return Path(told) if told else Path(tempfile.gettempdir()) / "thymeyoke-announce.sock"
+
+
+async def serve(where: Path, status: Callable[[], dict[str, Any]]) -> None:
+    try:
+        with suppress(FileNotFoundError):
+            if where.is_socket() and _dead(where):
+                where.unlink()
+        listener = await anyio.create_unix_listener(where, mode=0o600)
+    except OSError as error:
+        log.counts["announce_control_failed"] += 1
+        return log.say(logging.ERROR, "no socket for announce show", error, path=where)
+    busy = 0
+
+    async def answer(stream: SocketStream) -> None:
+        nonlocal busy
+        busy += 1
+        try:
+            if busy <= AT_ONCE:
+                with anyio.move_on_after(WITHIN), suppress(OSError, anyio.BrokenResourceError):
+                    await stream.send(orjson.dumps(status()))
+        finally:
+            busy -= 1
+            await anyio.aclose_forcefully(stream)
+
+    try:
+        async with listener:
+            await listener.serve(answer)
+    finally:
+        with suppress(OSError):
+            os.unlink(where)
+
+
+def _dead(where: Path) -> bool:
+    """Whether nobody listens any more: a killed process leaves its socket's file behind."""
+    with socket.socket(socket.AF_UNIX) as probe:
+        probe.settimeout(WITHIN)
+        try:
+            probe.connect(str(where))
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+    return False
+
+
+def ask(where: Path) -> dict[str, Any]:
+    """The running server's status, or `Unanswered`."""
+    found = b""
+    with socket.socket(socket.AF_UNIX) as sock:
+        sock.settimeout(2 * WITHIN)
+        try:
+            sock.connect(str(where))
+            while data := sock.recv(1 << 16):
+                found += data
+            return orjson.loads(found)
+        except (OSError, orjson.JSONDecodeError) as error:
+            what = getattr(error, "strerror", None) or "no whole answer"
+            raise Unanswered(
+                f"no server with [announce] answers at {where} ({what}); name its socket with --control, "
+                f"or the operators' file with --orders"
+            ) from None
--- /dev/null
+++ b/thymeyoke/net/behind.py
@@ -0,0 +1,80 @@
+"""What may stand behind the desk: subsystems that the operators' file asks for. None is imported that is
+not asked for.
+
+One seam for all of them: the desk tells each of the drain at once (`Draining`) and of the rest when it asks
+(`Probe`, answered with `Standing`); a file read anew is a `Reformed`. What is off is an empty tuple at the
+desk.
+"""
+
+from __future__ import annotations
+
+import logging
+from importlib import import_module
+from typing import Any, Protocol
+
+import anyio
+from anyio.abc import TaskGroup
+from anyio.streams.memory import MemoryObjectSendStream
+
+from thymeyoke.net import log
+from thymeyoke.net.mail import Draining, Event, Reformed, Standing
+
+MAKERS = {
+    "announce": "thymeyoke.announce.announcer"
+}  # each has `probe(section)`, `build(section, seed, desk)`
+
+Orders = dict[str, Any]  # by section, what its module made of it
+
+
+AGAIN = 1.0  # seconds until a subsystem that failed starts again
+
+
+class Refused(Exception):
+    """The machine does not let this process do what the operators' file asks for; the text is for them."""
+
+
+class Behind(Protocol):
+    """A subsystem's actor. `tell` never waits; `run` may be begun again after an error."""
+
+    name: str
+
+    def tell(self, what: Standing | Draining | Reformed) -> None: ...
+    async def run(self) -> None: ...
+
+
+def probe(orders: Orders) -> None:
+    for name, told in orders.items():
+        import_module(MAKERS[name]).probe(told)
+
+
+def build(orders: Orders, seed: int, desk: MemoryObjectSendStream[Event]) -> tuple[Behind, ...]:
+    return tuple(import_module(MAKERS[name]).build(told, seed, desk) for name, told in orders.items())
+
+
+def reform(
+    present: tuple[Behind, ...], orders: Orders, seed: int, desk: MemoryObjectSendStream[Event]
+) -> tuple[tuple[Behind, ...], tuple[Behind, ...]]:
+    """A file read anew: all of it is found good before any of it is carried out. Those that stay or are
+    new, and the new ones, which are still to be run."""
+    probe(orders)
+    here = {side.name: side for side in present}
+    new = build({name: told for name, told in orders.items() if name not in here}, seed, desk)
+    for name, side in here.items():
+        side.tell(Reformed(orders.get(name)))
+    return (*(side for name, side in here.items() if name in orders), *new), new
+
+
+def run(tasks: TaskGroup, sides: tuple[Behind, ...]) -> None:
+    for side in sides:
+        tasks.start_soon(_guarded, side)
+
+
+async def _guarded(side: Behind) -> None:
+    """A subsystem's error ends what it does, and it begins anew; the server goes on."""
+    while True:
+        try:
+            return await side.run()
+        except Exception as error:
+            log.counts[f"{side.name}_error"] += 1
+            log.say(logging.ERROR, "subsystem starts again", error, name=side.name)
+            await anyio.sleep(AGAIN)
--- a/thymeyoke/net/desk.py
+++ b/thymeyoke/net/desk.py
@@ -15,6 +15,7 @@
 
 from thymeyoke.choice import Choice
 from thymeyoke.net import log
+from thymeyoke.net.behind import Behind
 from thymeyoke.net.clock import clock
 from thymeyoke.net.database import Database
 from thymeyoke.net.front import Front
@@ -31,6 +32,7 @@
     Checked,
     Command,
     Down,
+    Draining,
     Emptied,
     Ended,
     Event,
@@ -43,9 +45,11 @@
     Leave,
     Leaving,
     Order,
+    Probe,
     Refused,
     Reply,
     Report,
+    Standing,
     Synced,
     TakeUp,
     Trim,
@@ -106,6 +110,10 @@
         self.value: float | None = None
         self.fit = True
         self.leave_at = self.close_at = float("inf")
+        self.behind: tuple[Behind, ...] = ()  # what the operators' file asks for
+        self.stay_until = 0.0  # with something behind, a drain lasts until the door shuts
+        self.warm_at = 0.0
+        self.busy_at = gauges.index("busy") if "busy" in (gauges := given["machine"].gauges) else None
         self.done = self.emptied = False
         self.next_counts = clock() + COUNTS_PERIOD
 
@@ -193,15 +201,24 @@
                 self._refused(now, id, command)
             case Leave():
                 self._leave(now)
+            case Probe(asker):
+                asker.tell(self._standing())
             case Emptied():
                 self.emptied = True
 
     def _up(self, now: float, cold: bool, age: float) -> None:
         if self.yoke is None:
             survival = self.given["survival"]._replace(cold=cold)
+            self.warm_at = now - age + survival.cold_span if cold else 0.0
             self.yoke = Choice(now=now - age, **{**self.given, "survival": survival})
             log.say(logging.INFO, "up", cold=cold, age=age)
 
+    def _standing(self) -> Standing:
+        busy = self.gauges[self.busy_at] if self.gauges and self.busy_at is not None else None
+        return Standing(
+            self.yoke is not None, self.link > 0, self.warm_at, busy, log.counts["ops"],
+            log.counts[Verdict.NACK.value], len(self.front.connections), self.front.most)  # fmt: skip
+
     def _arrived(self, now: float, event: Arrived) -> None:
         asker, number, order = event
         if self.yoke is None or order.id in self.slips:
@@ -300,6 +317,11 @@
         # shut at once that was missing, while those who took over were still cold.
         self.close_at = now + min(self.duty.drain_grace, self.stop / 2)
         self.emptied = not self.front.connections
+        if self.behind:
+            # Who follows an announcement comes until it is withdrawn, and a while after.
+            self.stay_until = self.close_at
+        for side in self.behind:
+            side.tell(Draining(self.close_at))
         if self.yoke:
             self.yoke.leave(now, self.stop)
 
@@ -330,7 +352,8 @@
             self.front.tell(Leaving())
             self.emptied = not self.front.connections
         left = self.leave_at < float("inf")
-        self.done = left and not self.unanswered and (self.emptied or now >= self.leave_at - STOP_MARGIN)
+        gone = self.emptied and now >= self.stay_until
+        self.done = left and not self.unanswered and (gone or now >= self.leave_at - STOP_MARGIN)
 
     def _last_resort(self, now: float, slip: Slip) -> None:
         if slip.answered:
--- a/thymeyoke/net/log.py
+++ b/thymeyoke/net/log.py
@@ -1,4 +1,4 @@
-"""Log lines of key=value pairs on standard error, and the counters that are logged now and then."""
+"""Log lines on standard error, key=value pairs or JSON, and the counters that are logged now and then."""
 
 from __future__ import annotations
 
@@ -7,6 +7,8 @@
 from collections import Counter, deque
 from typing import Any
 
+import orjson
+
 logger = logging.getLogger("thymeyoke")
 counts: Counter[str] = Counter()  # of this process; its keys are words of the code, not of the input
 PEER_LINES, PEER_SPAN = 20, 10.0  # what peers do wrong is told in so many lines a span, and counted besides
@@ -19,15 +21,27 @@
     return text if text and plain else '"' + text.encode("unicode_escape").decode().replace('"', "'") + '"'
 
 
+def _pairs(record: logging.LogRecord) -> dict[str, Any]:
+    pairs = {"at": record.created, "level": record.levelname.lower(), "what": record.getMessage()}
+    pairs |= getattr(record, "pairs", {})
+    if record.exc_info and record.exc_info[1] is not None:
+        pairs["error"] = place(record.exc_info[1])
+    return pairs
+
+
 class KeyValue(logging.Formatter):
     def format(self, record: logging.LogRecord) -> str:
-        level, what = record.levelname.lower(), record.getMessage()
-        pairs = {"at": f"{record.created:.3f}", "level": level, "what": what} | getattr(record, "pairs", {})
-        if record.exc_info and record.exc_info[1] is not None:
-            pairs["error"] = place(record.exc_info[1])
+        pairs = _pairs(record) | {"at": f"{record.created:.3f}"}
         return " ".join(f"{key}={_quoted(value)}" for key, value in pairs.items())
 
 
+class Json(logging.Formatter):
+    """The same pairs, one JSON object a line."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        return orjson.dumps(_pairs(record), default=str).decode()
+
+
 def place(error: BaseException) -> str:
     """An exception's type, text and place, on one line."""
     while isinstance(error, BaseExceptionGroup):  # of a task group: the first error in it tells more
@@ -54,9 +68,9 @@
     say(logging.WARNING, what, **pairs)
 
 
-def set_up(level: str) -> None:
+def set_up(level: str, form: str = "text") -> None:
     handler = logging.StreamHandler()
-    handler.setFormatter(KeyValue())
+    handler.setFormatter(Json() if form == "json" else KeyValue())
     logger.addHandler(handler)
     logger.setLevel(level.upper())
     logger.propagate = False
--- a/thymeyoke/net/mail.py
+++ b/thymeyoke/net/mail.py
@@ -7,7 +7,7 @@
 
 from contextlib import suppress
 from enum import Enum
-from typing import NamedTuple, Protocol, TypeVar
+from typing import Any, NamedTuple, Protocol, TypeVar
 
 import anyio
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
@@ -101,6 +101,12 @@
     """The notice to leave."""
 
 
+class Probe(NamedTuple):
+    """Somebody behind the desk asks how the server stands; the answer is a `Standing`."""
+
+    asker: Inquirer
+
+
 class Up(NamedTuple):
     cold: bool
     age: float  # of the processor's start
@@ -197,9 +203,41 @@
     where: Address
 
 
+# From the desk to what stands behind it (`behind.Behind`).
+
+
+class Standing(NamedTuple):
+    """How the server stands. Counts run from its start, moments are the clock's."""
+
+    up: bool
+    linked: bool  # the processor's link
+    warm_at: float
+    busy: float | None  # of the cores, 0 to 1; None before the first gauges, or where none tells it
+    ops: int
+    nacked: int
+    connections: int
+    most: int  # connections
+
+
+class Draining(NamedTuple):
+    """The notice to leave is there; ops are taken until `door_at`."""
+
+    door_at: float
+
+
+class Reformed(NamedTuple):
+    """The operators' file was read anew: the subsystem's section, or None where it is gone."""
+
+    section: Any
+
+
+class Inquirer(Protocol):
+    def tell(self, what: Standing) -> None: ...
+
+
 Command = Begin | Interrupt | TakeUp | Reply | Gauge
 Event = (
-    Arrived | Checked | Gone | Emptied | Leave
+    Arrived | Checked | Gone | Emptied | Leave | Probe
     | Up | Synced | Down | Ended | Asked | Gauges | Refused | CallOver
 )  # fmt: skip
 
--- a/thymeyoke/net/server.py
+++ b/thymeyoke/net/server.py
@@ -12,7 +12,7 @@
 import anyio
 from anyio.abc import TaskStatus
 
-from thymeyoke.net import log
+from thymeyoke.net import behind, log
 from thymeyoke.net.database import Database
 from thymeyoke.net.desk import Desk
 from thymeyoke.net.front import Front
@@ -30,8 +30,10 @@
 
 async def serve(
     station: Station, names: Names, given: dict[str, Any], again: Callable[[], Station],
+    orders: Callable[[], behind.Orders] = dict,
     *, task_status: TaskStatus[Address] = anyio.TASK_STATUS_IGNORED,
 ) -> None:  # fmt: skip
+    """`again` and `orders` read the start file and the operators' file, at the start and on SIGHUP."""
     desk = Desk(station.stop, given)
     front = Front(names, station.descriptors, given["callers"].idle, desk.inbox)
     processor = Processor(station.processor, names, desk.inbox)
@@ -39,6 +41,8 @@
     roster = Roster(station.roster, station.name)
     desk.meet(front, processor, database, roster)
 
+    desk.behind = behind.build(orders(), given["seed"], desk.inbox)
+
     def moves() -> None:
         """The start file again: peers may be elsewhere. What it says besides waits for the next start."""
         try:
@@ -52,6 +56,15 @@
                 peer.tell(Move(where))
         log.say(logging.INFO, "start file read again", processor=new.processor, database=new.database)
 
+    def reforms() -> None:
+        """The operators' file again. Whatever is wrong with it, the old one stays in force, whole."""
+        try:
+            desk.behind, new = behind.reform(desk.behind, orders(), given["seed"], desk.inbox)
+        except Exception as error:
+            log.counts["orders_bad"] += 1
+            return log.say(logging.ERROR, "operators' file not taken", error)
+        behind.run(tasks, new)
+
     where = await front.listen(station.listen)
     log.say(logging.INFO, "listening", name=station.name, address=where)
     gc.set_threshold(*GARBAGE)
@@ -61,7 +74,8 @@
         async with anyio.create_task_group() as tasks:
             for actor in (front, processor, database, roster):
                 tasks.start_soon(_kept_up, actor.run)
-            await tasks.start(_signals, desk, moves)
+            behind.run(tasks, desk.behind)
+            await tasks.start(_signals, desk, (moves, reforms))
             task_status.started(where)
             await desk.run()
             tasks.cancel_scope.cancel()
@@ -86,16 +100,18 @@
 
 
 async def _signals(
-    desk: Desk, moves: Callable[[], None], *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
-) -> None:
-    """SIGTERM is the notice to leave; a second one changes nothing. SIGHUP asks to read the start file again,
+    desk: Desk, again: tuple[Callable[[], None], ...],
+    *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+) -> None:  # fmt: skip
+    """SIGTERM is the notice to leave; a second one changes nothing. SIGHUP asks to read the files again,
     during a drain as well."""
     left = False
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         task_status.started()
         async for number in signals:
             if number == signal.SIGHUP:
-                moves()
+                for read in again:
+                    read()
             elif not left:
                 left = True
                 await post(desk.inbox, Leave())
