--- a/thymeyoke/announce/attributes.py
+++ b/thymeyoke/announce/attributes.py
@@ -205,7 +205,7 @@
     kept: dict[int, bytes] = {}
     for one in said.attributes:
         _weigh(one, kept, faults, wide, internal)
-    if said.overrun:
+    if said.rest:
         faults.append((Way.WITHDRAW, "attributes end in the middle of one"))
     reached = [(IPV4, nlri) for nlri in said.nlri]
     withdrawn = [(IPV4, nlri) for nlri in said.withdrawn]
@@ -214,7 +214,7 @@
         family, hop, many = _mp_reach(kept[At.MP_REACH], agreed)
         next_hop = next_hop if said.nlri else hop
         reached += [(family, nlri) for nlri in many]
-    end_of = IPV4 if not (said.withdrawn or said.attributes or said.nlri or said.overrun) else None
+    end_of = IPV4 if not (said.withdrawn or said.attributes or said.nlri or said.rest) else None
     if At.MP_UNREACH in kept:
         family, many = _mp_unreach(kept[At.MP_UNREACH], agreed)
         withdrawn += [(family, nlri) for nlri in many]
--- a/thymeyoke/announce/session.py
+++ b/thymeyoke/announce/session.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from enum import Enum, IntEnum
+from enum import Enum, IntEnum, unique
 from random import Random
 from typing import NamedTuple
 
@@ -67,6 +67,7 @@
     SEND = Event.SEND_HOLD_EXPIRES
 
 
+@unique
 class Do(Enum):
     DIAL = "open the transport connection"
     DROP = "close it"
@@ -74,12 +75,13 @@
     KEEPALIVE = "send KEEPALIVE"
     NOTIFY = "send the NOTIFICATION that the event calls for"
     RETRY_ON = "restart the ConnectRetryTimer"
-    RETRY_OFF = "stop it"
+    RETRY_OFF = "stop the ConnectRetryTimer"
     COUNT = "one more flap"
     LARGE = "set the HoldTimer to a large value"
     HOLD = "restart the HoldTimer with the negotiated value"
     KEEP_ON = "restart the KeepaliveTimer"
     IDLE_ON = "start the IdleHoldTimer"
+    IDLE_OFF = "stop the IdleHoldTimer"
     UP = "announce"
     RELEASE = "forget what the peer announced"
     TAKE = "take what the message says"
@@ -138,8 +140,9 @@
 
     # Idle: all is refused but a start; a connection that comes up late is closed.
     put(S.IDLE, (), S.IDLE, *E)
-    put(S.IDLE, (D.RETRY_ON, D.DIAL), S.CONNECT, E.START, E.IDLE_HOLD_EXPIRES)
-    put(S.IDLE, (D.RETRY_ON,), S.ACTIVE, E.START_PASSIVE)
+    put(S.IDLE, (D.IDLE_OFF,), S.IDLE, E.STOP)
+    put(S.IDLE, (D.IDLE_OFF, D.RETRY_ON, D.DIAL), S.CONNECT, E.START, E.IDLE_HOLD_EXPIRES)
+    put(S.IDLE, (D.IDLE_OFF, D.RETRY_ON), S.ACTIVE, E.START_PASSIVE)
     put(S.IDLE, (D.DROP,), S.IDLE, E.TCP_UP)
 
     for state in (S.CONNECT, S.ACTIVE):
@@ -176,6 +179,9 @@
 }  # fmt: skip
 
 
+WAITS = dict.fromkeys((Event.START, Event.IDLE_HOLD_EXPIRES, Event.RETRY_EXPIRES), Event.START_PASSIVE)
+
+
 class Mine(NamedTuple):
     """What this side says in its OPEN, and of whom it expects one. `hold` in seconds."""
 
@@ -244,6 +250,7 @@
         self.theirs: Open | None = None
         self.agreed = wire.Agreed()
         self.flaps, self.error, self.error_at = 0, "", 0.0  # `error`: the last one's name
+        self.last_event: Event | None = None
         self.out: list[Action] = []
 
     # What is heard.
@@ -321,8 +328,9 @@
                 return Event.KEEPALIVE, None
 
     def _step(self, now: float, event: Event, error: Wrong | None, found: Took | Refreshed | None) -> None:
-        if self.passive and event == Event.IDLE_HOLD_EXPIRES and self.state == State.IDLE:
-            event = Event.START_PASSIVE
+        if self.passive and self.state in (State.IDLE, State.ACTIVE):
+            event = WAITS.get(event, event)
+        self.last_event = event
         before, row = self.state, TABLE[self.state, event]
         notified = False
         for do in row.does:
@@ -370,6 +378,8 @@
                 self._start(now, Timer.KEEPALIVE, self.hold / KEEPALIVES)
             case Do.IDLE_ON:
                 self._start(now, Timer.IDLE, self.mine.hold * IDLE * self.penalty.factor(now))
+            case Do.IDLE_OFF:
+                self.timers.pop(Timer.IDLE, None)
             case Do.UP:
                 self.out.append(Up(self.agreed))
             case Do.RELEASE:
--- a/thymeyoke/announce/wire.py
+++ b/thymeyoke/announce/wire.py
@@ -160,7 +160,7 @@
     withdrawn: tuple[Nlri, ...] = ()
     attributes: tuple[Attribute, ...] = ()
     nlri: tuple[Nlri, ...] = ()
-    overrun: bool = False  # the attributes end in the middle of one: RFC 7606 section 4 says what then
+    rest: bytes = b""  # of attributes that end in the middle of one (RFC 7606 section 4)
 
 
 class Notification(NamedTuple):
@@ -264,7 +264,7 @@
 
 def _update_body(said: Update) -> bytes:
     withdrawn = b"".join(map(prefix, said.withdrawn))
-    attributes = b"".join(map(attribute, said.attributes))
+    attributes = b"".join(map(attribute, said.attributes)) + said.rest
     return b"".join((
         len(withdrawn).to_bytes(2, "big"), withdrawn, len(attributes).to_bytes(2, "big"), attributes,
         *map(prefix, said.nlri)))  # fmt: skip
@@ -396,23 +396,23 @@
     if 4 + gone + size > len(body):
         raise Wrong(Code.UPDATE, 1)
     at = 4 + gone
-    attributes, overrun = _attributes(body[at : at + size])
+    attributes, rest = _attributes(body[at : at + size])
     paths = IPV4 in agreed.paths
     withdrawn, nlri = prefixes(body[2 : 2 + gone], 4, paths), prefixes(body[at + size :], 4, paths)
-    return Update(withdrawn, attributes, nlri, overrun)
+    return Update(withdrawn, attributes, nlri, rest)
 
 
-def _attributes(data: bytes) -> tuple[tuple[Attribute, ...], bool]:
+def _attributes(data: bytes) -> tuple[tuple[Attribute, ...], bytes]:
     found, at = [], 0
     while at < len(data):
         wide = 2 if data[at] & 0x10 else 1
         end = at + 2 + wide
         length = int.from_bytes(data[at + 2 : end], "big")
         if end > len(data) or end + length > len(data):
-            return tuple(found), True
+            return tuple(found), data[at:]
         found.append(Attribute(data[at], data[at + 1], data[end : end + length]))
         at = end + length
-    return tuple(found), False
+    return tuple(found), b""
 
 
 def prefixes(data: bytes, octets: int, paths: bool) -> tuple[Nlri, ...]:
