--- a/examples/standins.py
+++ b/examples/standins.py
@@ -11,7 +11,7 @@
 import time
 from base64 import b64decode, b64encode
 from collections.abc import Callable
-from contextlib import suppress
+from contextlib import nullcontext, suppress
 from os import urandom
 from socket import SO_LINGER, SOL_SOCKET
 from typing import Any
@@ -79,11 +79,15 @@
 
 
 class Processor(StandIn):
-    """Runs ops: for `span` seconds, or until `let` where `held`, with `calls` calls each."""
+    """Runs ops: for `span` seconds, or until `let` where `held`, with `calls` calls each; where `cores` are
+    told, so many at once, and busy by what runs."""
 
-    def __init__(self, span: float = 0.05, calls: int = 1, held: bool = False) -> None:
+    def __init__(
+        self, span: float = 0.05, calls: int = 1, held: bool = False, cores: int = 0, cold: bool = False
+    ) -> None:
         super().__init__()
-        self.span, self.calls, self.held = span, calls, held
+        self.span, self.calls, self.held, self.cold = span, calls, held, cold
+        self.cores = anyio.CapacityLimiter(cores) if cores else None
         self.heard: list[dict[str, Any]] = []
         self.notices: list[bytes] = []
         self.runs: dict[str, anyio.CancelScope] = {}
@@ -107,7 +111,7 @@
                     no = {"event": "reject", "fate": "usage", "handle": said["ticket"]}
                     await self._send(stream, orjson.dumps(no) + b"\n")
                 case "usage":
-                    used = {"event": "used", "ticket": said["ticket"], "figures": [0, len(self.runs), 0, 1]}
+                    used = {"event": "used", "ticket": said["ticket"], "figures": self._figures()}
                     await self._send(stream, orjson.dumps(used) + b"\n")
                 case "begin" if b64decode(said["arg"]) in self.refused:
                     no = {"event": "reject", "fate": "begin", "handle": said["handle"]}
@@ -122,9 +126,13 @@
                         scope.cancel()
             self._changes()
 
+    def _figures(self) -> list[float]:
+        cores = self.cores
+        return [min(1.0, len(self.runs) / cores.total_tokens) if cores else 0, len(self.runs), 0, 1]
+
     async def _greet(self, stream: SocketStream, cursor: int) -> None:
         await self.up.wait()
-        hi = orjson.dumps({"event": "hi", "fate": "WARM", "lasted": 0}) + b"\n"
+        hi = orjson.dumps({"event": "hi", "fate": "COLD" if self.cold else "WARM", "lasted": 0}) + b"\n"
         with suppress(*LOST):
             await self._send(stream, b"".join([hi, *self.notices[cursor:]]))
 
@@ -147,7 +155,8 @@
                 while id not in self.replies:
                     await self.changed.wait()
                 result += b" with " + self.replies.pop(id)
-            await anyio.sleep(self.span)
+            async with self.cores or nullcontext():
+                await anyio.sleep(self.span)
             while self.held and id not in self.let:
                 await self.changed.wait()
         stopped = self.runs.pop(id).cancelled_caught
--- a/standins/bgp.py
+++ b/standins/bgp.py
@@ -68,6 +68,7 @@
         self.connected_at: list[float] = []
         self.reading = anyio.Event()
         self.reading.set()
+        self.gates: dict[str, anyio.Event] = {}  # "open" (of the first), "keepalive": held till set
         self.extra: Callable[[Client], list[wire.Message | bytes]] = lambda client: []  # said once it is up
 
     # What a test asks.
@@ -103,6 +104,8 @@
             return await anyio.sleep_forever()
         elif fault.startswith("length-"):
             hello = wire.MARKER + int(fault[7:]).to_bytes(2, "big") + hello[18:]
+        if client.number == 1 and "open" in self.gates:
+            await self.gates["open"].wait()
         await stream.send(hello)
         async with anyio.create_task_group() as tasks:
             try:
@@ -147,6 +150,8 @@
                 client.open = message
                 client.agreed = wire.agree(self._open(), message)._replace(paths=frozenset())
                 self.clients[client.number] = client
+                if "keepalive" in self.gates:
+                    await self.gates["keepalive"].wait()
                 await self._say(client, wire.Keepalive())
                 if self.fault != "no-keepalive":
                     tasks.start_soon(self._keep, client)
--- a/tests/server.py
+++ b/tests/server.py
@@ -102,6 +102,7 @@
     def __init__(self, tasks: TaskGroup, processor: Processor, database: Database, roster: Roster) -> None:
         self.tasks, self.processor, self.database, self.roster = tasks, processor, database, roster
         self.ended = anyio.Event()
+        self.desk: Any = None  # where a test wants to look inside
 
     async def serve(self, changed: dict[str, Any], orders: Callable[[], dict[str, Any]]) -> None:
         addresses = {"listen": 0, "processor": self.processor.port, "db": self.database.port,
--- a/thymeyoke/announce/announcer.py
+++ b/thymeyoke/announce/announcer.py
@@ -23,7 +23,7 @@
 from thymeyoke.announce.session import State
 from thymeyoke.announce.shown import Shown
 from thymeyoke.announce.speaker import Speaker
-from thymeyoke.announce.wire import Code, Notification, shutdown
+from thymeyoke.announce.wire import Code, Notification
 from thymeyoke.net import log
 from thymeyoke.net.clock import clock
 from thymeyoke.net.mail import Draining, Event, Probe, Reformed, Standing, waiting
@@ -78,24 +78,22 @@
                 self.tasks.start_soon(control.serve, control_at, lambda: self.status(clock()))
                 self._meet()
                 await self._go()
-                self._farewell(DECONFIGURED)
-                if self.listening:
-                    self.listening.cancel()
+                for speaker in self.speakers.values():
+                    speaker.stop(DECONFIGURED)
                 with anyio.move_on_after(2 * tcp.FAREWELL):
                     while any(not speaker.done for speaker in self.speakers.values()):
                         await anyio.sleep(tcp.FAREWELL / 10)
                 self.tasks.cancel_scope.cancel()
+            self.close()
         finally:
-            self._farewell(shutdown("the instance leaves"))
             self.speakers.clear()
             self.listening = None
 
     tasks: TaskGroup
 
-    def _farewell(self, why: Notification) -> None:
-        for speaker in self.speakers.values():
-            if not speaker.stopped:
-                speaker.stop(why)
+    def close(self) -> None:
+        self.outbox.close()
+        self.letters.close()
 
     def _changed(self) -> None:
         self.poked.set()
@@ -246,10 +244,10 @@
     def _accepted(self, stream: SocketStream) -> bool:
         with suppress(OSError, anyio.TypedAttributeLookupError):
             host = str(stream.extra(SocketAttribute.remote_address)[0])
-            for speaker in self.speakers.values():
-                if str(speaker.peer.address.ip) == host and speaker.peer.passive:
-                    tcp.welcome(stream, speaker.peer)
-                    return speaker.accepted(stream)
+            near = [one for one in self.speakers.values() if str(one.peer.address.ip) == host]
+            for speaker in sorted(near, key=lambda one: not one.peer.passive)[:1]:
+                tcp.welcome(stream, speaker.peer)
+                return speaker.accepted(stream)
         return False
 
     # What is told to people.
--- a/thymeyoke/announce/speaker.py
+++ b/thymeyoke/announce/speaker.py
@@ -122,10 +122,7 @@
             # With the writer in the middle of something no NOTIFICATION can be put behind it.
             went = said and not self.writing and tcp.last_words(stream, b"".join(self.pending))
             self.scope.cancel()
-            try:
-                self.speaker.tasks.start_soon(self._bye, stream, went, self.over)
-            except RuntimeError:  # the server ends, and nobody waits: the machine closes it
-                tcp.abandon(stream)
+            self.speaker.tasks.start_soon(self._bye, stream, went, self.over)
         self.pending.clear()
 
     async def _bye(self, stream: SocketStream, said: bool, over: anyio.Event) -> None:
@@ -238,11 +235,19 @@
         self.session.unsent(clock(), True, self.speaker.within)
         self.speaker.woken()
 
+    def hurry(self, within: float) -> None:
+        """What is already on its way stands before what must leave now."""
+        if self.stream is not None and (self.writing or tcp.unacknowledged(self.stream)):
+            self.mark = self.total
+            self.session.unsent(clock(), True, within)
+            self.speaker.woken()
+
     def passed(self, now: float) -> None:
         due = self.session.timers.get(Timer.SEND, float("inf")) <= now
         if due and self.stream is not None and not self.writing:
             left = tcp.unacknowledged(self.stream)
             if self.total - left >= self.mark:
+                self.speaker.within = None
                 self.session.unsent(now, False)
                 self.mark = self.total
                 self.session.unsent(now, left > 0)
@@ -269,6 +274,8 @@
 
     def stir(self, wanted: Mapping[Prefix, Level], told: Announce, within: float | None) -> None:
         self.wanted, self.told, self.within = wanted, told, within
+        if within is not None:
+            self.main.hurry(within)
         self.main.stir()
 
     def woken(self) -> None:
@@ -276,14 +283,21 @@
 
     async def run(self) -> None:
         async with anyio.create_task_group() as self.tasks:
-            self.main.hear(Event.START_PASSIVE if self.peer.passive else Event.START)
-            while not self.stopped:
-                self.wake = anyio.Event()
-                for talk in self.talks():
-                    talk.passed(clock())
-                moment = min(talk.session.next() for talk in self.talks())
-                with anyio.move_on_after(max(0.0, moment - clock())):
-                    await self.wake.wait()
+            try:
+                await self._run()
+            finally:
+                if not self.stopped:
+                    self.stop(wire.shutdown("the instance leaves"))
+
+    async def _run(self) -> None:
+        self.main.hear(Event.START_PASSIVE if self.peer.passive else Event.START)
+        while not self.stopped:
+            self.wake = anyio.Event()
+            for talk in self.talks():
+                talk.passed(clock())
+            moment = min(talk.session.next() for talk in self.talks())
+            with anyio.move_on_after(max(0.0, moment - clock())):
+                await self.wake.wait()
 
     tasks: TaskGroup
 
@@ -354,5 +368,6 @@
         if rival.session.state == State.ESTABLISHED:
             return talk.hear(Event.COLLISION)
         lost = loses(own.id.packed, own.as_, theirs.id, theirs.as_)
-        victim = talk if talk.opened == (lost == "ours") else rival
+        victim, stays = (talk, rival) if talk.opened == (lost == "ours") else (rival, talk)
+        self.main, self.other = stays, victim
         victim.hear(Event.COLLISION)
--- a/thymeyoke/announce/tcp.py
+++ b/thymeyoke/announce/tcp.py
@@ -24,7 +24,8 @@
 MD5SIG = 14  # TCP_MD5SIG, linux/tcp.h
 MIN_TTL, MIN_HOPS = 21, 73  # IP_MINTTL, IPV6_MINHOPCOUNT
 NEAR = 255  # the TTL that a neighbour's packets have, RFC 5082 section 3
-FAREWELL = 0.2  # seconds in which a peer takes a last NOTIFICATION before the connection is reset
+SEND_BUFFER = 1 << 15  # octets: what waits in the machine for a peer that does not read
+FAREWELL = 0.1  # seconds in which a peer takes a last NOTIFICATION before the connection is reset
 
 
 def _family(ip: Ip) -> socket.AddressFamily:
@@ -65,6 +66,7 @@
                 f"[announce.peer {peer.name}] {what}: this machine refuses it ({error.strerror}); "
                 f"leave it out, or let this user set it") from None  # fmt: skip
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
 
 
 def probe(told: Announce) -> None:
@@ -130,12 +132,6 @@
         return False
 
 
-def abandon(stream: SocketStream) -> None:
-    """Close at once, without a turn of the loop."""
-    with suppress(OSError):
-        stream.extra(SocketAttribute.raw_socket).shutdown(socket.SHUT_RDWR)
-
-
 async def close(stream: SocketStream, said: bool) -> None:
     """Where last words were said the peer gets a moment to read them: a reset throws away what it has not
     read. Else the connection is reset at once, which needs no room in the peer's window."""
--- a/thymeyoke/net/server.py
+++ b/thymeyoke/net/server.py
@@ -81,6 +81,8 @@
             tasks.cancel_scope.cancel()
     finally:
         desk.inbox.close()
+        for side in desk.behind:
+            side.close()
         for peer in (processor, database, roster):
             peer.outbox.close()
             peer.unsent.close()
