--- a/thymeyoke/announce/decide.py
+++ b/thymeyoke/announce/decide.py
@@ -17,6 +17,8 @@
 )
 FULL_TABLE = 0.95  # of the connections that are taken
 COOL = 1 / 4  # of the heat at which a crowd is one: below, it is over
+STAYS = 2.0  # times that heat: the crowd stays though less was sent here, and only going away is left
+TOP = 2.5  # times that heat: no crowd is remembered for longer
 AWAY = 2  # times `crowded_after`: the first time away for a crowd
 AWAY_TOP = 60.0  # seconds
 FORGET = 60.0  # seconds in which the count of times away halves
@@ -95,13 +97,16 @@
         span = min(max(0.0, now - self.at), self.terms.crowded_after / 2) if self.last else 0.0
         crowded = self.crowded(look)
         self.last, self.at = look, now
-        top = 2 * self.terms.crowded_after
-        self.heat = min(top, max(0.0, self.heat + (span if crowded else -span)))
+        self.heat = min(TOP * self.terms.crowded_after, max(0.0, self.heat + (span if crowded else -span)))
         if self.heat >= self.terms.crowded_after:
             self.hot = True
         elif self.heat <= COOL * self.terms.crowded_after:
             self.hot = False
 
+    @property
+    def stays(self) -> bool:
+        return self.heat >= STAYS * self.terms.crowded_after
+
     def crowded(self, look: Look) -> bool:
         if look.late or look.connections >= FULL_TABLE * look.most:
             return True
@@ -223,7 +228,7 @@
             return self._while_away(now, one)
         if self.crowd.hot:
             enough = terms.least_others > 0 and one.others >= terms.least_others
-            if one.level == Level.LESS and settled and enough and self.crowd.heat >= terms.crowded_after:
+            if one.level == Level.LESS and settled and enough and self.crowd.stays:
                 return Why(Level.WITHDRAWN, f"crowded, {one.others} others in full")
             few = "" if enough else f", {one.others} others in full"
             return Why(Level.LESS, f"crowded{few}", one.level == Level.WITHDRAWN)
