benchmarks/announce.py, and a speaker that no longer wakes itself for ever

Need: what announcing costs was not known. Change: the benchmark (decision to wire, CPU an op, memory, received paths). The event is armed after the timers have passed; a case counts the looks of a calm session.

--- /dev/null
+++ b/benchmarks/announce.py
@@ -0,0 +1,253 @@
+"""What announcing costs: from decision to wire, an op, a session, received paths. `python -m
+benchmarks.announce`.
+
+One table, and JSON lines with `--json`. Servers are processes of their own, as in service (`-O`); times are
+this machine's, so quote the ratios. A quiet machine is needed, some two minutes of it.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+import statistics
+import time
+import tracemalloc
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import anyio
+import click
+import orjson
+
+from examples.standins import Router
+from standins.bgp import BgpPeer
+from standins.fleet import ADDRESS, Fleet, Instance, free_port
+from thymeyoke.announce import wire
+from thymeyoke.announce.session import Event, Mine, Session
+from thymeyoke.announce.shown import Shown
+from thymeyoke.announce.wire import IPV4, Attribute, Nlri
+
+SECOND = "203.0.113.7/32"
+OPS, AT_ONCE = 6000, 16
+PATHS = 10_000
+
+
+def cpu(pid: int) -> float:
+    """Seconds that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def rss(pid: int) -> int:
+    """KiB."""
+    text = Path(f"/proc/{pid}/status").read_text()
+    return int(text.split("VmRSS:")[1].split()[0])
+
+
+async def one_server(peers: int, tasks: Any, **options: Any) -> tuple[Fleet, list[BgpPeer]]:
+    fleet = Fleet(1, **options)
+    one = fleet.all[0]
+    await one.around(tasks)
+    one.processor.span = 0.0
+    one.processor.cores = None
+    many = [BgpPeer(reflects=False) for _ in range(peers)]
+    for peer in many:
+        await tasks.start(peer.run)
+    one.port = free_port()
+    one.start(many)
+    with anyio.fail_after(20):
+        while not all(peer.levels(one.id) for peer in many):
+            await anyio.sleep(0.05)
+    await anyio.sleep(1.5)
+    return fleet, many
+
+
+async def ops(one: Instance, tasks: Any, many: int) -> None:
+    """A closed loop: AT_ONCE ops are out at any time."""
+    router = await Router.connect(tasks, "127.0.0.1", one.port)
+    out: list[int] = []
+    for _ in range(many):
+        out.append(await router.ask("look", b"x"))
+        if len(out) >= AT_ONCE:
+            await router.answer(out.pop(0))
+        router.answers = (
+            {number: said for number, said in router.answers.items() if number >= out[0]} if out else {}
+        )
+
+
+async def an_op(rows: list[dict[str, Any]]) -> None:
+    """CPU of the server for an op, and its memory, by the number of peers."""
+    costs: dict[int, list[float]] = {0: [], 2: [], 16: []}
+    many = 256  # for the memory alone: few fit into what the start left free
+    memory: dict[int, list[int]] = {}
+    for _ in range(3):
+        for peers in (*costs, many):
+            async with anyio.create_task_group() as tasks:
+                fleet, _ = await one_server(peers, tasks)
+                one = fleet.all[0]
+                assert one.process is not None
+                try:
+                    memory.setdefault(peers, []).append(rss(one.process.pid))
+                    if peers == many:
+                        continue
+                    await ops(one, tasks, 500)
+                    before = cpu(one.process.pid)
+                    await ops(one, tasks, OPS)
+                    costs[peers].append((cpu(one.process.pid) - before) / OPS)
+                finally:
+                    fleet.down()
+                    tasks.cancel_scope.cancel()
+    base = min(costs[0])
+    for peers, found in costs.items():
+        rows.append({"what": f"CPU an op, {peers} peers", "value": min(found) * 1e6, "unit": "us",
+                     "ratio": min(found) / base})  # fmt: skip
+    calm = {peers: statistics.median(found) for peers, found in memory.items()}
+    for peers, found in calm.items():
+        rows.append(
+            {"what": f"RSS calm, {peers} peers", "value": found, "unit": "KiB", "ratio": found / calm[0]}
+        )
+    each = (calm[many] - calm[2]) / (many - 2)
+    rows.append({"what": "RSS a session", "value": each, "unit": "KiB", "ratio": None})
+
+
+async def to_the_wire(rows: list[dict[str, Any]]) -> None:
+    """From the moment a level is decided (the server's log) until the peer has read the UPDATE."""
+    for loaded in (False, True):
+        async with anyio.create_task_group() as tasks:
+            fleet, (peer,) = await one_server(1, tasks, changes=60, settle=30)
+            one = fleet.all[0]
+            assert one.process is not None
+            try:
+                if loaded:
+
+                    async def load(one: Instance = one, tasks: Any = tasks) -> None:
+                        while True:
+                            await ops(one, tasks, 1000)
+
+                    tasks.start_soon(load)
+                orders = one.folder / "0.ini"
+                first = orders.read_text()
+                both = first.replace(ADDRESS, f"{ADDRESS}, {SECOND}")
+                for at in range(60):
+                    orders.write_text(both if at % 2 == 0 else first)
+                    before = peer.updates
+                    os.kill(one.process.pid, signal.SIGHUP)
+                    with anyio.fail_after(5):
+                        while peer.updates == before:
+                            await anyio.sleep(0.002)
+                    await anyio.sleep(0.05)
+                decided = [
+                    line["at"] for line in map(orjson.loads, one.log().splitlines())
+                    if line["what"] == "announced" and line["address"] == SECOND
+                ]  # fmt: skip
+                wanted = Nlri(32, bytes((203, 0, 113, 7)))
+                heard = [seen.at for seen in peer.log if seen.what == "announce" and seen.nlri == wanted]
+                spans = sorted(b - a for a, b in zip(decided, heard, strict=True))
+            finally:
+                fleet.down()
+                tasks.cancel_scope.cancel()
+        how = "full load of ops" if loaded else "idle"
+        for name, part in (("median", 0.5), ("99th", 0.99)):
+            value = spans[min(len(spans) - 1, int(part * len(spans)))]
+            what = f"decision to wire, {how}, {name} of {len(spans)}"
+            ratio = value / rows_idle(rows, value, name)
+            rows.append({"what": what, "value": value * 1e3, "unit": "ms", "ratio": ratio})
+
+
+def rows_idle(rows: list[dict[str, Any]], value: float, name: str) -> float:
+    idle = [row["value"] / 1e3 for row in rows if "idle" in row["what"] and name in row["what"]]
+    return idle[0] if idle else value
+
+
+def received(rows: list[dict[str, Any]]) -> None:
+    """10,000 paths of others taken and dropped again; and as many to our own address, of which few are
+    kept."""
+    from ipaddress import ip_network
+
+    mine = Mine(64512, bytes((192, 0, 2, 1)), 64500, 3, (IPV4,))
+    theirs = Mine(64500, bytes((192, 0, 2, 9)), 64512, 3, (IPV4,)).open()
+    told = (Attribute(0x40, 1, b"\0"), Attribute(0x40, 2, b"\2\1" + (64500).to_bytes(4, "big")),
+            Attribute(0x40, 3, bytes((192, 0, 2, 9))))  # fmt: skip
+    foreign = [Nlri(32, at.to_bytes(4, "big")) for at in range(10 << 24, (10 << 24) + PATHS)]
+    own = [Nlri(32, ip_network(ADDRESS).network_address.packed, at) for at in range(PATHS)]
+    base = 0.0
+    for name, many in (("others' prefixes", foreign), ("one address of ours", own)):
+        paths = many is own
+        agreed = wire.Agreed(
+            True, families=frozenset((IPV4,)), paths=frozenset((IPV4,)) if paths else frozenset()
+        )
+        data = b"".join(wire.encode(wire.Update((), told, tuple(many[at : at + 200])), agreed)
+                        for at in range(0, PATHS, 200))  # fmt: skip
+        data += b"".join(wire.encode(wire.Update(tuple(many[at : at + 200])), agreed)
+                         for at in range(0, PATHS, 200))  # fmt: skip
+        spans = []
+        for measured in (False, False, False, True):
+            session, shown, reader = (
+                Session(mine, Random(1)),
+                Shown(64512, [], 1000, [ip_network(ADDRESS)]),
+                wire.Reader(),
+            )
+            session.hear(0.0, Event.START)
+            session.hear(0.0, Event.TCP_UP)
+            session.take(0.0, theirs)
+            session.take(0.0, wire.Keepalive())
+            session.agreed = reader.agreed = agreed
+            if measured:
+                tracemalloc.start()
+            began = time.perf_counter()
+            for at in range(0, len(data), 1 << 14):
+                for message in reader.feed(data[at : at + (1 << 14)]):
+                    for action in session.take(0.0, message):
+                        shown.heard("p", action.heard)  # type: ignore[union-attr]
+            if measured:
+                held, peak = tracemalloc.get_traced_memory()
+                tracemalloc.stop()
+            else:
+                spans.append(time.perf_counter() - began)
+        span = statistics.median(spans)
+        base = base or span
+        rows.append(
+            {
+                "what": f"{PATHS} paths to {name}, and back",
+                "value": span * 1e3,
+                "unit": "ms",
+                "ratio": span / base,
+            }
+        )
+        rows.append(
+            {
+                "what": "  memory at its peak, and after",
+                "value": peak / 1024,
+                "unit": "KiB",
+                "ratio": held / peak,
+            }
+        )
+
+
+@click.command()
+@click.option("--json", "as_json", is_flag=True, help="JSON lines.")
+@click.option("--only", type=click.Choice(["op", "wire", "paths"]), help="One part of it.")
+def main(as_json: bool, only: str | None) -> None:
+    """Measure what announcing costs.
+
+    \b
+    Example: python -m benchmarks.announce --only paths
+    """
+    rows: list[dict[str, Any]] = []
+    if only in (None, "op"):
+        anyio.run(an_op, rows)
+    if only in (None, "wire"):
+        anyio.run(to_the_wire, rows)
+    if only in (None, "paths"):
+        received(rows)
+    for row in rows:
+        if as_json:
+            click.echo(orjson.dumps(row).decode())
+        else:
+            ratio = "" if row["ratio"] is None else f"{row['ratio']:8.2f}"
+            click.echo(f"{row['what']:48} {row['value']:10.2f} {row['unit']:4} {ratio}")
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -83,7 +83,8 @@
         config, orders = (self.folder / f"{self.number}.{end}" for end in ("json", "ini"))
         config.write_bytes(orjson.dumps(told))
         orders.write_text("\n".join(lines) + "\n")
-        command = [sys.executable, "-O", "-m", "thymeyoke", "serve", "--config", str(config)]
+        command = [sys.executable, "-O", "-m", "thymeyoke", "serve", "--log-form", "json"]
+        command += ["--config", str(config)]
         with open(self.folder / f"{self.number}.log", "ab") as log:
             self.process = subprocess.Popen(
                 [*command, *(("--orders", str(orders)) if peers else ())], stderr=log
@@ -129,7 +130,7 @@
         await tasks.start(self.peer.run)
         for one in self.all:
             await one.around(tasks)
-            one.port = _free_port()
+            one.port = free_port()
             one.start([self.peer])
         with anyio.fail_after(20):
             while not all(self.peer.levels(one.id) == {True} for one in self.all):
@@ -188,7 +189,7 @@
         )
 
 
-def _free_port() -> int:
+def free_port() -> int:
     import socket
 
     with socket.socket() as free:
--- a/tests/test_announce.py
+++ b/tests/test_announce.py
@@ -213,6 +213,25 @@
 
         anyio.run(run)
 
+    def test_a_calm_session_is_left_alone(self) -> None:
+        """The speaker once woke itself for ever: a core went, and the server served all the same."""
+
+        async def run() -> None:
+            peer = BgpPeer()
+            async with around(File(), peer) as here:
+                await until(lambda: peer.levels(ME) == {True})
+                side = announcer(here)
+                talk = side.speakers["p0"].main
+                with (
+                    mock.patch.object(talk, "passed", wraps=talk.passed) as passed,
+                    mock.patch.object(side, "_settle", wraps=side._settle) as settled,
+                ):
+                    await anyio.sleep(1.5)
+                for counted in (passed.call_count, settled.call_count):
+                    self.assertTrue(0 < counted < 30, counted)
+
+        anyio.run(run)
+
     def test_a_refresh_is_answered(self) -> None:
         async def run() -> None:
             peer = BgpPeer()
--- a/thymeyoke/announce/speaker.py
+++ b/thymeyoke/announce/speaker.py
@@ -292,9 +292,9 @@
     async def _run(self) -> None:
         self.main.hear(Event.START_PASSIVE if self.peer.passive else Event.START)
         while not self.stopped:
-            self.wake = anyio.Event()
             for talk in self.talks():
                 talk.passed(clock())
+            self.wake = anyio.Event()  # only now: what passed has woken nobody but this
             moment = min(talk.session.next() for talk in self.talks())
             with anyio.move_on_after(max(0.0, moment - clock())):
                 await self.wake.wait()
