--- a/tests/test_announce.py
+++ b/tests/test_announce.py
@@ -10,7 +10,7 @@
 import unittest
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from ipaddress import ip_network
+from ipaddress import ip_address, ip_network
 from pathlib import Path
 from typing import Any
 from unittest import mock
@@ -441,6 +441,27 @@
 
         anyio.run(run)
 
+    def test_md5(self) -> None:
+        """RFC 2385, between our own two ends: the right password connects, another one or none does not."""
+
+        async def run() -> None:
+            where = HostPort.parse(f"127.0.0.1:{free_port()}")
+            waits = Peer("a", where, 1, password="right", passive=True)
+            try:
+                tcp.probe(Announce(1, ip_address(ME), (), (), (waits,)))
+            except Refused as error:  # a machine without it: said at the start, in one sentence
+                return self.assertIn("[announce.peer a] password: this machine refuses it", str(error))
+            with tcp.listen(where, (waits,)):
+                for password, good in (("right", True), ("wrong", False), ("", False)):
+                    reached = False
+                    with anyio.move_on_after(0.4):
+                        stream = await tcp.connect(Peer("b", where, 1, password=password))
+                        reached = True
+                        await stream.aclose()
+                    self.assertEqual(reached, good, password)
+
+        anyio.run(run)
+
     def test_options_of_the_socket(self) -> None:
         """MD5 and the least TTL where this machine allows them; else a clear refusal at the start."""
 
@@ -457,8 +478,8 @@
                 await until(lambda: peer.levels(ME) == {True})
 
         anyio.run(run)
-        bad = Peer("x", HostPort.parse("127.0.0.1:1"), 1, source=HostPort.parse("192.0.2.77:1").ip)
-        told = Announce(1, HostPort.parse("1.1.1.1:1").ip, (), (), (bad,))
+        bad = Peer("x", HostPort.parse("127.0.0.1:1"), 1, source=ip_address("192.0.2.77"))
+        told = Announce(1, ip_address(ME), (), (), (bad,))
         with self.assertRaisesRegex(Refused, r"\[announce.peer x\] source: this machine refuses it"):
             tcp.probe(told)
 
--- a/thymeyoke/announce/speaker.py
+++ b/thymeyoke/announce/speaker.py
@@ -131,6 +131,7 @@
             await tcp.close(stream, said)
 
     async def _dial(self) -> None:
+        self.opened = True
         with anyio.CancelScope() as scope:
             self.dialing = scope
             try:
