--- a/benchmarks/announce.py
+++ b/benchmarks/announce.py
@@ -56,9 +56,13 @@
         await tasks.start(peer.run)
     one.port = free_port()
     one.start(many)
-    with anyio.fail_after(20):
-        while not all(peer.levels(one.id) for peer in many):
-            await anyio.sleep(0.05)
+    try:
+        with anyio.fail_after(20):
+            while not all(peer.levels(one.id) for peer in many):
+                await anyio.sleep(0.05)
+    except TimeoutError:
+        fleet.down()
+        raise
     await anyio.sleep(1.5)
     return fleet, many
 
