Ledger behind the desk: uses in groups off the loop, export, receiver, commands

Need: the ledger's stores had nobody to fill them. Change: the desk tells those that hear of ops one value at an op's end (an empty tuple when off); the keeper commits in groups in a thread, holds acked answers until then where answers = after, and never past half the answer slack; the exporter and the receiver on anyio; ledger show, correct, verify, receive, statement, explain.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -115,9 +115,9 @@
         cases = [
             (b'{"event":"hi","fate":"COLD","lasted":1500}', (0, mail.Up(True, 1.5))),
             (b'{"event":"complete","cursor":3,"handle":"a","fate":"OK","lasted":1,"arg":"AP8="}',
-             (3, mail.Ended("a", Outcome.OK, b"\x00\xff"))),
+             (3, mail.Ended("a", Outcome.OK, b"\x00\xff", 0.001))),
             (b'{"event":"complete","cursor":4,"handle":"a","fate":"STOPPED","lasted":1}',
-             (4, mail.Ended("a", Outcome.STOPPED, b""))),
+             (4, mail.Ended("a", Outcome.STOPPED, b"", 0.001))),
             (b'{"event":"ask","cursor":5,"handle":"a","arg":"AP8="}', (5, mail.Asked("a", b"\x00\xff"))),
             (b'{"event":"used","ticket":"gauges","figures":[0.5,3]}', (0, mail.Gauges((0.5, 3.0)))),
             (b'{"event":"used","ticket":"sync2","figures":[]}', (0, mail.Synced(2))),
--- a/thymeyoke/__main__.py
+++ b/thymeyoke/__main__.py
@@ -30,7 +30,7 @@
 class Commands(click.Group):
     """The groups of subsystems, imported when they are asked for."""
 
-    groups = {"announce": "thymeyoke.announce.commands"}  # noqa: RUF012
+    groups = {"announce": "thymeyoke.announce.commands", "ledger": "thymeyoke.ledger.commands"}  # noqa: RUF012
 
     def list_commands(self, ctx: click.Context) -> list[str]:
         return sorted([*super().list_commands(ctx), *self.groups])
--- a/thymeyoke/announce/announcer.py
+++ b/thymeyoke/announce/announcer.py
@@ -25,6 +25,7 @@
 from thymeyoke.announce.speaker import Speaker
 from thymeyoke.announce.wire import Code, Notification
 from thymeyoke.net import log
+from thymeyoke.net.behind import Around
 from thymeyoke.net.clock import clock
 from thymeyoke.net.mail import Draining, Event, Probe, Reformed, Standing, waiting
 
@@ -47,6 +48,7 @@
     """Stands behind the desk while the operators' file has `[announce]`."""
 
     name = "announce"
+    hears_ops = False
 
     def __init__(self, told: Announce, seed: int, desk: MemoryObjectSendStream[Event]) -> None:
         self.told, self.rng, self.desk = told, Random(seed), desk
@@ -287,5 +289,5 @@
     tcp.probe(told)
 
 
-def build(told: Announce, seed: int, desk: MemoryObjectSendStream[Event]) -> Announcer:
-    return Announcer(told, seed, desk)
+def build(told: Announce, around: Around) -> Announcer:
+    return Announcer(told, around.seed, around.desk)
--- a/thymeyoke/ledger/book.py
+++ b/thymeyoke/ledger/book.py
@@ -365,6 +365,14 @@
 
     # What is told.
 
+    def size(self) -> int:
+        """Octets of the file, but for pages that are free in it."""
+        pages, free, octets = (
+            self.store.execute(f"PRAGMA {name}").fetchone()[0]
+            for name in ("page_count", "freelist_count", "page_size")
+        )
+        return (pages - free) * octets
+
     def totals(self) -> dict[Line, Amounts]:
         """Everything that was ever entered, by line; corrections added up under theirs."""
         rows = [
--- /dev/null
+++ b/thymeyoke/ledger/keeper.py
@@ -0,0 +1,236 @@
+"""The actor behind the desk: what ops used goes to the book in groups, off the event loop; answers wait for
+it where the operators say so, and never past a stated moment.
+
+Bounds: `MOST` uses that are not in the book yet. Past half of them ops are refused where `full = refuse`;
+past all of them uses are lost, and counted. An answer that waits is told when its use is in the book, or at
+its moment.
+"""
+
+from __future__ import annotations
+
+import logging
+import sqlite3
+from collections import deque
+from collections.abc import Callable
+from heapq import heappop, heappush
+from pathlib import Path
+from random import Random
+from typing import NamedTuple, TypeVar
+
+import anyio
+from anyio import to_thread
+from anyio.streams.memory import MemoryObjectSendStream
+
+from thymeyoke.ledger import exporter
+from thymeyoke.ledger.book import BadBook, Book, Made
+from thymeyoke.ledger.entries import Kind, Recent, Use
+from thymeyoke.ledger.section import Ledger
+from thymeyoke.net import log
+from thymeyoke.net.behind import Around, Refused
+from thymeyoke.net.clock import clock
+from thymeyoke.net.mail import Answer, Asker, Draining, Event, Over, Reformed, Standing, Verdict
+
+MOST = 20_000
+GROUP = 1000
+CLOSE_EVERY = 1.0  # seconds between looks for what may close
+RETRY, RETRY_TOP = 0.1, 5.0  # seconds after a commit that failed, doubling
+KINDS = {Verdict.ACK: Kind.ACKED, Verdict.NACK: Kind.NACKED, Verdict.FAIL: Kind.FAILED, None: Kind.GONE}
+
+Found = TypeVar("Found")
+
+
+class Waiting(NamedTuple):
+    asker: Asker
+    answer: Answer
+    until: float
+
+
+class Pending:
+    """A use on its way to the book, and the answer that waits for it, until it is told."""
+
+    def __init__(self, use: Use, waiting: Waiting | None) -> None:
+        self.use, self.waiting = use, waiting
+
+    def tell(self) -> None:
+        if self.waiting is not None:
+            waiting, self.waiting = self.waiting, None
+            waiting.asker.tell(waiting.answer)
+
+
+class Keeper:
+    """Stands behind the desk while the operators' file has `[ledger]`."""
+
+    name = "ledger"
+    hears_ops = True
+
+    def __init__(self, told: Ledger, around: Around) -> None:
+        self.told, self.rng = told, Random(around.seed)
+        self.who = around.name
+        self.tenants, self.types = list(around.names.tenants) or [""], list(around.names.op_types)
+        self.desk: MemoryObjectSendStream[Event] = around.desk
+        self.recent = Recent()
+        self.queue: deque[Pending] = deque()
+        self.group: list[Pending] = []  # being committed
+        self.late: list[
+            tuple[float, int, Pending]
+        ] = []  # answers by the moment that they are told at the latest
+        self.order = 0
+        self.stirred = anyio.Event()
+        self.timed = anyio.Event()
+        self.too_large = self.over = False
+        self.book: Book | None = None
+        self.limiter = anyio.CapacityLimiter(1)
+        self.sender: exporter.Exporter | None = None
+
+    # The seam.
+
+    def tell(self, what: Standing | Draining | Reformed) -> None:
+        if isinstance(what, Reformed):
+            if what.section is None:
+                self.over = True
+                self.stirred.set()
+            elif what.section != self.told:
+                log.say(logging.WARNING, "[ledger] has changed: it takes effect at the next start")
+
+    def takes(self) -> bool:
+        """Whether an op may come in: with `refuse`, only while its use can be kept."""
+        return self.told.full != "refuse" or not (self.too_large or len(self.queue) >= MOST // 2)
+
+    def pending(self) -> bool:
+        return bool(self.late)
+
+    def ended(self, op: Over) -> None:
+        """An op's end, told with its answer where it gets one. The answer is this actor's to tell."""
+        kind = Kind.REPEAT if op.repeat and op.verdict is Verdict.ACK else KINDS[op.verdict]
+        tenant = self.tenants[op.tenant] if op.tenant < len(self.tenants) else ""
+        use = Use(op.at, tenant, self.types[op.type], kind, op.run, op.calls, op.importance, op.octets)
+        self.recent.add(op.at, tenant, op.run)
+        waiting = Waiting(op.asker, op.answer, op.until) if op.asker and op.answer else None
+        pending = Pending(use, waiting)
+        if len(self.queue) >= MOST or (self.too_large and self.told.full == "lose"):
+            log.counts["ledger_lost"] += 1
+            return pending.tell()
+        if waiting is not None:
+            if kind not in (Kind.ACKED, Kind.REPEAT) or self.told.answers == "before":
+                pending.tell()  # what is given up is told at once, whatever the book does
+            else:
+                self.order += 1
+                heappush(self.late, (waiting.until, self.order, pending))
+                self.timed.set()
+        self.queue.append(pending)
+        self.stirred.set()
+
+    def close(self) -> None:
+        if self.book is not None:
+            self.book.close_file()
+            self.book = None
+
+    # The book.
+
+    async def run(self) -> None:
+        try:
+            self.book = await self._off(lambda: Book(
+                Path(self.told.path), self.told.period, self.rng, self.told.answers == "after"))  # fmt: skip
+        except BadBook as error:
+            log.counts["ledger_bad_book"] += 1
+            log.say(logging.ERROR, "no ledger", why=str(error))
+            raise
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._tell_late)
+            if self.told.receiver is not None:
+                self.sender = exporter.Exporter(self.told.receiver, self.who, self.rng, self.book, self._off)
+                tasks.start_soon(self.sender.run)
+            await self._keep()
+            tasks.cancel_scope.cancel()
+        self.close()
+
+    async def _off(self, what: Callable[[], Found]) -> Found:
+        """In a thread; one at a time. A disk that hangs holds up the thread, not the server."""
+        return await to_thread.run_sync(what, abandon_on_cancel=True, limiter=self.limiter)
+
+    async def _keep(self) -> None:
+        pause, close_at = RETRY, clock()
+        while not (self.over and not self.queue):
+            if self.queue and not self.group:
+                self.group = [self.queue.popleft() for _ in range(min(GROUP, len(self.queue)))]
+            try:
+                if self.group:
+                    await self._commit()
+                if clock() >= close_at:
+                    close_at = clock() + CLOSE_EVERY
+                    await self._close()
+                pause = RETRY
+            except sqlite3.Error as error:  # full, or broken: the group stays and is tried again
+                log.counts["ledger_commit_failed"] += 1
+                if pause == RETRY:
+                    log.say(logging.ERROR, "ledger not written", error)
+                await anyio.sleep(pause)
+                pause = min(RETRY_TOP, 2 * pause)
+                continue
+            if not self.queue:
+                self.stirred = anyio.Event()
+                with anyio.move_on_after(max(0.0, close_at - clock())):
+                    await self.stirred.wait()
+
+    async def _commit(self) -> None:
+        book, group = self.book, self.group
+        assert book is not None
+        made = await self._off(lambda: book.append([pending.use for pending in group]))
+        self.group = []
+        log.counts["ledger_entries"] += made
+        log.counts["ledger_groups"] += 1
+        for pending in group:
+            pending.tell()
+        while self.late and self.late[0][2].waiting is None:
+            heappop(self.late)
+
+    async def _close(self) -> None:
+        book = self.book
+        assert book is not None
+
+        def work() -> tuple[list[Made], int, int]:
+            made = book.close(clock())
+            folded = book.fold(self.told.keep) if made or self.too_large else 0
+            return made, folded, book.size()
+
+        made, folded, size = await self._off(work)
+        log.counts["ledger_batches"] += len(made)
+        log.counts["ledger_folded"] += folded
+        was, self.too_large = self.too_large, size > self.told.limit_mb << 20
+        if self.too_large and not was:
+            log.say(logging.ERROR, "ledger is full", size=size, full=self.told.full)
+        shares = self.recent.shares(clock())
+        for tenant, share in list(shares.items())[:8]:
+            log.gauges[f"ledger_share_{tenant or 'none'}"] = round(share, 3)
+        if self.sender is not None:
+            self.sender.made(made)
+
+    async def _tell_late(self) -> None:
+        """No answer waits on the disk past its moment: then it goes without, and that is counted."""
+        while True:
+            now = clock()
+            while self.late and (self.late[0][0] <= now or self.late[0][2].waiting is None):
+                pending = heappop(self.late)[2]
+                if pending.waiting is not None:
+                    log.counts["ledger_told_unbacked"] += 1
+                    pending.tell()
+            self.timed = anyio.Event()
+            span = self.late[0][0] - clock() if self.late else float("inf")
+            with anyio.move_on_after(max(0.0, span)):
+                await self.timed.wait()
+
+
+def probe(told: Ledger) -> None:
+    """Whether this machine can carry the section out; `behind.Refused` else."""
+    try:
+        Book(Path(told.path), told.period, Random(0), begin=False).close_file()
+    except BadBook as error:
+        raise Refused(f"[ledger] path: {error}") from None
+    except (OSError, sqlite3.Error) as error:
+        raise Refused(
+            f"[ledger] path: {told.path} can't be written ({error}); give a folder that can"
+        ) from None
+
+
+def build(told: Ledger, around: Around) -> Keeper:
+    return Keeper(told, around)
--- /dev/null
+++ b/thymeyoke/ledger/receiver.py
@@ -0,0 +1,95 @@
+"""The receiving side: a program of its own that takes exports of many instances and keeps each batch once."""
+
+from __future__ import annotations
+
+import logging
+import signal
+from pathlib import Path
+from random import Random
+
+import anyio
+from anyio import to_thread
+from anyio.abc import SocketAttribute, SocketStream, TaskStatus
+
+from thymeyoke.ledger import wire
+from thymeyoke.ledger.export import greet
+from thymeyoke.ledger.vault import Vault
+from thymeyoke.net import log
+
+CHUNK = 1 << 16
+CONNECTIONS = 1024
+FIRST = 5.0  # seconds for a connection's first message; later ones may take as long as they like
+
+
+class Receiver:
+    def __init__(self, vault: Vault) -> None:
+        self.vault = vault
+        self.limiter = anyio.CapacityLimiter(1)
+        self.open = 0
+
+    async def run(
+        self, host: str, port: int, *, task_status: TaskStatus[int] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+        where = listener.listeners[0].extra(SocketAttribute.local_port)
+        log.say(logging.INFO, "receiving", address=f"{host}:{where}", path=self.vault.path)
+        async with listener:
+            task_status.started(where)
+            await listener.serve(self._serve)
+
+    async def _serve(self, stream: SocketStream) -> None:
+        self.open += 1
+        try:
+            if self.open <= CONNECTIONS:
+                await self._speak(stream)
+        except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, TimeoutError):
+            pass
+        except wire.BadSay as error:
+            log.counts["ledger_bad_say"] += 1
+            log.of_peer("connection closed", why=str(error))
+        except Exception as error:  # a store that can't be written: the sender comes again
+            log.counts["ledger_receive_error"] += 1
+            log.say(logging.ERROR, "connection ends", error)
+        finally:
+            self.open -= 1
+            await anyio.aclose_forcefully(stream)
+
+    async def _speak(self, stream: SocketStream) -> None:
+        reader = wire.Reader()
+        book = b""
+        with anyio.fail_after(FIRST) as first:
+            while True:
+                for said in reader.feed(await stream.receive(CHUNK)):
+                    answer: wire.Say
+                    match said:
+                        case wire.Hello(name, mark, _) if not book:
+                            held = await self._off(lambda mark=mark, name=name: self.vault.greet(mark, name))
+                            answer, book = greet(held, said, self.vault.mark), mark
+                            first.deadline = float("inf")
+                        case wire.Batch() if book:
+                            answer = await self._off(lambda book=book, said=said: self.vault.take(book, said))
+                            kind = "refused" if isinstance(answer, wire.Refused) else "taken"
+                            log.counts[f"ledger_{kind}"] += 1
+                        case _:
+                            raise wire.BadSay("a message out of turn")
+                    if isinstance(answer, wire.Refused):
+                        log.of_peer("refused", why=answer.why, book=book.hex()[:8])
+                    await stream.send(wire.encode(answer))
+
+    async def _off(self, what):  # noqa: ANN001, ANN202 (the type of what it calls)
+        return await to_thread.run_sync(what, limiter=self.limiter)
+
+
+async def receive(host: str, port: int, folder: Path, seed: int) -> None:
+    """Until SIGTERM or SIGINT."""
+    vault = Vault(folder, Random(seed))
+    try:
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(Receiver(vault).run, host, port)
+            with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+                async for _ in signals:
+                    break
+            tasks.cancel_scope.cancel()
+    finally:
+        vault.close_file()
+    log.say(logging.INFO, "left", **log.counts)
--- /dev/null
+++ b/thymeyoke/ledger/section.py
@@ -0,0 +1,48 @@
+"""`[ledger]` and `[ledger.export]` of the operators' file, as typed values."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+from thymeyoke.announce.section import PORT, HostPort
+from thymeyoke.orders import Raw
+
+ANSWERS, FULL = ("before", "after"), ("refuse", "lose")
+
+
+class Ledger(Struct, frozen=True):
+    """Where use is kept, and what holds when the disk does not. `receiver`: where closed periods go, if
+    anywhere."""
+
+    path: Annotated[str, Meta(min_length=1, description="a folder that lasts")]
+    receiver: HostPort | None = None
+    period: Annotated[int, Meta(ge=1, le=86400, description="whole seconds from 1 to 86400")] = 60
+    answers: Annotated[str, Meta(description=f"one of {', '.join(ANSWERS)}")] = "after"
+    full: Annotated[str, Meta(description=f"one of {', '.join(FULL)}")] = "refuse"
+    keep: Annotated[int, Meta(ge=1, le=100000, description="a whole number from 1 to 100000")] = 16
+    limit_mb: Annotated[int, Meta(ge=1, le=1000000, description="megabytes, 1 to 1000000")] = 256
+
+    def lines(self) -> list[str]:
+        """For `check`: what is asked for."""
+        where = f", exported to {self.receiver}" if self.receiver else ""
+        return [
+            f"keeps use by tenant in {self.path}, periods of {self.period} s, answers {self.answers}{where}"
+        ]
+
+
+class Export(Struct, frozen=True):
+    receiver: Annotated[HostPort, Meta(description=PORT)]
+
+
+def gather(raw: Raw) -> Ledger:
+    for section in raw.sections:
+        if section.startswith("ledger.") and section != "ledger.export":
+            raise raw.bad(section, None, "no such section; give [ledger.export]")
+    receiver = raw.take("ledger.export", Export).receiver if "ledger.export" in raw.sections else None
+    made = raw.take("ledger", Ledger, receiver=receiver)
+    for option, choices in (("answers", ANSWERS), ("full", FULL)):
+        if (given := getattr(made, option)) not in choices:
+            raise raw.bad("ledger", option, f"{given!r} can't be used; give one of {', '.join(choices)}")
+    return made
--- a/thymeyoke/net/behind.py
+++ b/thymeyoke/net/behind.py
@@ -10,18 +10,18 @@
 
 import logging
 from importlib import import_module
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 import anyio
 from anyio.abc import TaskGroup
 from anyio.streams.memory import MemoryObjectSendStream
 
 from thymeyoke.net import log
-from thymeyoke.net.mail import Draining, Event, Reformed, Standing
+from thymeyoke.net.mail import Draining, Event, Over, Reformed, Standing
+from thymeyoke.start import Names
 
-MAKERS = {
-    "announce": "thymeyoke.announce.announcer"
-}  # each has `probe(section)`, `build(section, seed, desk)`
+# Each has `probe(section)` and `build(section, around)`.
+MAKERS = {"announce": "thymeyoke.announce.announcer", "ledger": "thymeyoke.ledger.keeper"}
 
 Orders = dict[str, Any]  # by section, what its module made of it
 
@@ -33,33 +33,51 @@
     """The machine does not let this process do what the operators' file asks for; the text is for them."""
 
 
+class Around(NamedTuple):
+    """What a subsystem is told of the server it stands behind."""
+
+    seed: int
+    desk: MemoryObjectSendStream[Event]
+    name: str
+    names: Names
+
+
 class Behind(Protocol):
     """A subsystem's actor. `tell` never waits; `run` may be begun again after an error."""
 
     name: str
+    hears_ops: bool  # then it has `takes`, `pending` and `ended` as well (`Keeper`)
 
     def tell(self, what: Standing | Draining | Reformed) -> None: ...
     def close(self) -> None: ...
     async def run(self) -> None: ...
 
 
+class Ear(Protocol):
+    """Of a subsystem that hears of ops."""
+
+    def takes(self) -> bool: ...
+    def pending(self) -> bool: ...
+    def ended(self, op: Over) -> None: ...
+
+
 def probe(orders: Orders) -> None:
     for name, told in orders.items():
         import_module(MAKERS[name]).probe(told)
 
 
-def build(orders: Orders, seed: int, desk: MemoryObjectSendStream[Event]) -> tuple[Behind, ...]:
-    return tuple(import_module(MAKERS[name]).build(told, seed, desk) for name, told in orders.items())
+def build(orders: Orders, around: Around) -> tuple[Behind, ...]:
+    return tuple(import_module(MAKERS[name]).build(told, around) for name, told in orders.items())
 
 
 def reform(
-    present: tuple[Behind, ...], orders: Orders, seed: int, desk: MemoryObjectSendStream[Event]
+    present: tuple[Behind, ...], orders: Orders, around: Around
 ) -> tuple[tuple[Behind, ...], tuple[Behind, ...]]:
     """A file read anew: all of it is found good before any of it is carried out. Those that stay or are
     new, and the new ones, which are still to be run."""
     probe(orders)
     here = {side.name: side for side in present}
-    new = build({name: told for name, told in orders.items() if name not in here}, seed, desk)
+    new = build({name: told for name, told in orders.items() if name not in here}, around)
     for name, side in here.items():
         side.tell(Reformed(orders.get(name)))
     return (*(side for name, side in here.items() if name in orders), *new), new
--- a/thymeyoke/net/desk.py
+++ b/thymeyoke/net/desk.py
@@ -15,7 +15,7 @@
 
 from thymeyoke.choice import Choice
 from thymeyoke.net import log
-from thymeyoke.net.behind import Behind
+from thymeyoke.net.behind import Behind, Ear
 from thymeyoke.net.clock import clock
 from thymeyoke.net.database import Database
 from thymeyoke.net.front import Front
@@ -45,6 +45,7 @@
     Leave,
     Leaving,
     Order,
+    Over,
     Probe,
     Refused,
     Reply,
@@ -85,6 +86,9 @@
         self.command: Command | None = None  # the last to the processor, until known to have come through
         self.sent, self.sent_at, self.again = 0, 0.0, False  # the link it went out on; whether on two
         self.asked = b""  # the body of the call that its run stands at
+        self.run, self.calls = 0.0, 0  # seconds, as the processor told them; calls made
+        self.verdict: Verdict | None = None
+        self.told = False  # its end, to those who hear of ops
 
 
 class Desk:
@@ -111,6 +115,7 @@
         self.fit = True
         self.leave_at = self.close_at = float("inf")
         self.behind: tuple[Behind, ...] = ()  # what the operators' file asks for
+        self.ears: tuple[Ear, ...] = ()  # those of them that hear of ops
         self.stay_until = 0.0  # with something behind, a drain lasts until the door shuts
         self.warm_at = 0.0
         self.busy_at = gauges.index("busy") if "busy" in (gauges := given["machine"].gauges) else None
@@ -120,6 +125,11 @@
     def meet(self, front: Front, processor: Processor, database: Database, roster: Roster) -> None:
         self.front, self.processor, self.database, self.roster = front, processor, database, roster
 
+    def stands(self, sides: tuple[Behind, ...]) -> None:
+        """What stands behind the desk from now on."""
+        self.behind = sides
+        self.ears = tuple(side for side in sides if side.hears_ops)
+
     async def run(self) -> None:
         with self.events:
             await self._run()
@@ -144,7 +154,8 @@
                 self.tell_counts()
 
     def tell_counts(self) -> None:
-        log.say(logging.INFO, "counts", in_hand=len(self.slips), kept=len(self.keys.by_id), **log.counts)
+        pairs = log.gauges | log.counts
+        log.say(logging.INFO, "counts", in_hand=len(self.slips), kept=len(self.keys.by_id), **pairs)
 
     async def _collect(self) -> list[Event]:
         """Wait for an event or the next moment, then take all that is there."""
@@ -153,6 +164,8 @@
         if self.leave_at < float("inf"):
             margin = LAST_MARGIN if self.unanswered else STOP_MARGIN
             moments += [self.leave_at - margin, self.close_at]
+            if self.ears:  # answers that wait for a disk are not the desk's: it looks again
+                moments.append(clock() + GAUGE_LEAD)
         if batch := waiting(self.events):
             return batch
         with anyio.move_on_after(max(0.0, min(moments) - clock())):
@@ -224,6 +237,9 @@
         if self.yoke is None or order.id in self.slips:
             log.counts["unexpected_ops"] += 1
             return asker.tell(Answer(number, Verdict.NACK, value=self.value))
+        if self.ears and not all(ear.takes() for ear in self.ears):
+            log.counts["refused_by_ledger"] += 1
+            return asker.tell(Answer(number, Verdict.NACK, value=self.value))
         kind = self.kinds[order.type]
         marked = order.key if kind.repeat is Repeat.KEYED else order.subject if self.fresh else None
         key = (order.type, marked) if marked else None
@@ -262,11 +278,12 @@
         self.yoke.gone(now, id)
 
     def _ended(self, now: float, event: Ended) -> None:
-        id, outcome, body = event
+        id, outcome, body, lasted = event
         slip = self.slips.get(id)
         if slip is None or self.yoke is None:
             log.counts["ended_unknown"] += 1
             return
+        slip.run = max(slip.run, lasted)  # told anew with each stop and end
         slip.command = None
         if outcome is Outcome.STOPPED and slip.paused and not slip.answered:  # its answer is still owed
             return self._guarded(self.yoke.ended, now, id, outcome)
@@ -353,7 +370,8 @@
             self.emptied = not self.front.connections
         left = self.leave_at < float("inf")
         gone = self.emptied and now >= self.stay_until
-        self.done = left and not self.unanswered and (gone or now >= self.leave_at - STOP_MARGIN)
+        owed = self.unanswered or any(ear.pending() for ear in self.ears)
+        self.done = left and not owed and (gone or now >= self.leave_at - STOP_MARGIN)
 
     def _last_resort(self, now: float, slip: Slip) -> None:
         if slip.answered:
@@ -438,6 +456,7 @@
                     self._release(now, [id], result)
             case act.Call(_, until):
                 slip.calling = True
+                slip.calls += 1
                 if not self.database.tell(Call(id, until, slip.asked)):
                     self.own.append(CallOver(id, Outcome.UNREACHED, b"", 0.0))
             case act.Keep(_, span):
@@ -468,10 +487,28 @@
     def _answer(self, slip: Slip, verdict: Verdict, body: bytes = b"", **more: Any) -> None:
         if not holds(not slip.answered, "answered_once", id=slip.order.id):
             return
-        slip.asker.tell(Answer(slip.number, verdict, body, self.value, **more))
+        slip.verdict = verdict
+        answer = Answer(slip.number, verdict, body, self.value, **more)
         log.counts[verdict.value] += 1
+        if self.ears and (slip.over or not slip.begun):  # this is its end, and its use is known
+            self._tell_ears(slip, len(body), answer)
+        else:
+            slip.asker.tell(answer)
         self._close(slip)
 
+    def _tell_ears(self, slip: Slip, octets: int, answer: Answer | None) -> None:
+        order, now = slip.order, clock()
+        until = min(now + self.duty.answer_slack / 2, max(now, slip.due))
+        repeat = slip.repeats is not None and not slip.begun
+        importance, octets = self.kinds[order.type].importance, len(order.body) + octets
+        over = Over(
+            now, order.tenant, order.type, slip.verdict, repeat, slip.run, slip.calls, importance, octets,
+            answer and slip.asker, answer, until)  # fmt: skip
+        for ear in self.ears:
+            ear.ended(over)
+            over = over._replace(asker=None, answer=None)
+        slip.told = True
+
     def _close(self, slip: Slip) -> None:
         """Answered, or nobody waits: its call is given up, and it goes unless its run is still to end."""
         slip.answered = True
@@ -484,3 +521,5 @@
     def _drop(self, slip: Slip) -> None:
         if slip.answered and (slip.over or not slip.begun):
             self.slips.pop(slip.order.id, None)
+            if self.ears and not slip.told:
+                self._tell_ears(slip, 0, None)
--- a/thymeyoke/net/log.py
+++ b/thymeyoke/net/log.py
@@ -11,6 +11,7 @@
 
 logger = logging.getLogger("thymeyoke")
 counts: Counter[str] = Counter()  # of this process; its keys are words of the code, not of the input
+gauges: dict[str, float] = {}  # logged with the counters
 PEER_LINES, PEER_SPAN = 20, 10.0  # what peers do wrong is told in so many lines a span, and counted besides
 _peer_lines: deque[float] = deque(maxlen=PEER_LINES)
 
--- a/thymeyoke/net/mail.py
+++ b/thymeyoke/net/mail.py
@@ -126,6 +126,7 @@
     id: str
     outcome: Outcome
     result: bytes
+    lasted: float = 0.0  # seconds of run, as the processor tells them
 
 
 class Asked(NamedTuple):
@@ -219,6 +220,23 @@
     most: int  # connections
 
 
+class Over(NamedTuple):
+    """An op's end: answered and off the cores. With `asker` the answer is still to be told, by `until`."""
+
+    at: float
+    tenant: int
+    type: int
+    verdict: Verdict | None  # None: its caller went
+    repeat: bool
+    run: float  # seconds, as the processor told them
+    calls: int
+    importance: float
+    octets: int
+    asker: Asker | None
+    answer: Answer | None
+    until: float
+
+
 class Draining(NamedTuple):
     """The notice to leave is there; ops are taken until `door_at`."""
 
--- a/thymeyoke/net/processor.py
+++ b/thymeyoke/net/processor.py
@@ -80,7 +80,8 @@
                 return cursor, Up(said["fate"] == "COLD", said["lasted"] / 1000)
             case "complete":
                 result = b64decode(said.get("arg") or "", validate=True)
-                return cursor, Ended(said["handle"], ENDS[said["fate"]], result)
+                lasted = said.get("lasted") or 0
+                return cursor, Ended(said["handle"], ENDS[said["fate"]], result, float(lasted) / 1000)
             case "ask":
                 return cursor, Asked(said["handle"], b64decode(said.get("arg") or "", validate=True))
             case "used" if said.get("ticket") == f"{SYNC}{link}":
--- a/thymeyoke/net/server.py
+++ b/thymeyoke/net/server.py
@@ -41,7 +41,8 @@
     roster = Roster(station.roster, station.name)
     desk.meet(front, processor, database, roster)
 
-    desk.behind = behind.build(orders(), given["seed"], desk.inbox)
+    around = behind.Around(given["seed"], desk.inbox, station.name, names)
+    desk.stands(behind.build(orders(), around))
 
     def moves() -> None:
         """The start file again: peers may be elsewhere. What it says besides waits for the next start."""
@@ -59,10 +60,11 @@
     def reforms() -> None:
         """The operators' file again. Whatever is wrong with it, the old one stays in force, whole."""
         try:
-            desk.behind, new = behind.reform(desk.behind, orders(), given["seed"], desk.inbox)
+            sides, new = behind.reform(desk.behind, orders(), around)
         except Exception as error:
             log.counts["orders_bad"] += 1
             return log.say(logging.ERROR, "operators' file not taken", error)
+        desk.stands(sides)
         behind.run(tasks, new)
 
     where = await front.listen(station.listen)
--- a/thymeyoke/orders.py
+++ b/thymeyoke/orders.py
@@ -20,7 +20,8 @@
 
 import msgspec
 
-SECTIONS = {"announce": "thymeyoke.announce.section"}  # each has `gather`: the section and those under it
+# Each has `gather`: the section and those under it.
+SECTIONS = {"announce": "thymeyoke.announce.section", "ledger": "thymeyoke.ledger.section"}
 
 SECRET = ("password",)  # not told in errors
 Section = TypeVar("Section", bound=msgspec.Struct)
