Ledger on sockets: statements against what clients counted, bad disks, kills at random

Need: that both sides agree through crashes was not shown. Change: three instances and the receiver killed at random under load, disks that hang or fill, receivers that misbehave. Found and mended: a book's mark was drawn from the seed, and instances with one seed were one book to the receiver (it refused the second; now the mark comes from the system); a stranger's book was noted before it was refused.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -54,6 +54,7 @@
         self.process: subprocess.Popen[bytes] | None = None
         self.router: Router | None = None
         self.options: dict[str, Any] = {}
+        self.extra = ""  # further sections of the operators' file
 
     async def around(self, tasks: TaskGroup) -> None:
         for one in (self.processor, self.database, self.roster):
@@ -72,7 +73,7 @@
             "as": 64512, "id": self.id, "addresses": ADDRESS, "next_hop": self.id, "settle": 0.3,
             "crowded_after": 1, "control": self.folder / f"{self.number}.sock",
         } | self.options  # fmt: skip
-        lines = ["[announce]", *(f"{name} = {value}" for name, value in options.items())]
+        lines = ["[announce]", *(f"{name} = {value}" for name, value in options.items())] if peers else []
         for at, peer in enumerate(peers):
             lines += [
                 f"[announce.peer p{at}]",
@@ -82,12 +83,12 @@
             ]
         config, orders = (self.folder / f"{self.number}.{end}" for end in ("json", "ini"))
         config.write_bytes(orjson.dumps(told))
-        orders.write_text("\n".join(lines) + "\n")
+        orders.write_text("\n".join([*lines, self.extra]) + "\n")
         command = [sys.executable, "-O", "-m", "thymeyoke", "serve", "--log-form", "json"]
         command += ["--config", str(config)]
         with open(self.folder / f"{self.number}.log", "ab") as log:
             self.process = subprocess.Popen(
-                [*command, *(("--orders", str(orders)) if peers else ())], stderr=log
+                [*command, *(("--orders", str(orders)) if peers or self.extra else ())], stderr=log
             )
 
     def signal(self, number: int) -> float:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -56,12 +56,12 @@
         self.folder = Path(folder.name)
 
     def book(self, step: Any = None, **more: Any) -> Book:
-        book = Book(self.folder / "book", LENGTH, Random(1), durable=False, step=step or Step(), **more)
+        book = Book(self.folder / "book", LENGTH, durable=False, step=step or Step(), **more)
         self.addCleanup(book.close_file)
         return book
 
     def vault(self, step: Any = None) -> Vault:
-        vault = Vault(self.folder / "vault", Random(2), step or Step())
+        vault = Vault(self.folder / "vault", step or Step())
         self.addCleanup(vault.close_file)
         return vault
 
@@ -132,12 +132,12 @@
                 continue
             with self.subTest(name=name, nth=nth), tempfile.TemporaryDirectory() as folder:
                 step = Step(name, nth)
-                book = Book(Path(folder), LENGTH, Random(1), durable=False, step=step)
+                book = Book(Path(folder), LENGTH, durable=False, step=step)
                 with self.assertRaises(Killed):
                     self.fill(book)
                 book.close_file()
                 # Committed groups are there in whole, the one at hand in whole or not at all.
-                book = Book(Path(folder), LENGTH, Random(1), durable=False)
+                book = Book(Path(folder), LENGTH, durable=False)
                 self.assertEqual((book.verify(), book.start), ([], 2))
                 ops = sum(amounts.ops for amounts in book.totals().values())
                 self.assertEqual(ops, 2 * step.seen.count("committed"))
@@ -156,7 +156,7 @@
         }
         for change, said in changes.items():
             with self.subTest(change=change), tempfile.TemporaryDirectory() as folder:
-                book = Book(Path(folder), LENGTH, Random(1), durable=False)
+                book = Book(Path(folder), LENGTH, durable=False)
                 for at in range(0, 100, 5):
                     book.append([use(1000.0 + at), use(1000.0 + at)])
                     book.close(1000.0 + at)
@@ -182,7 +182,7 @@
                 again.close_file()
         book.path.write_bytes(whole)
         with self.assertRaisesRegex(BadBook, r"periods of 10 s; give \[ledger\] period = that"):
-            Book(self.folder / "book", 60, Random(1))
+            Book(self.folder / "book", 60)
         store = sqlite3.connect(book.path)
         store.execute("UPDATE meta SET value = 9 WHERE name = 'format'")
         store.commit()
@@ -201,7 +201,7 @@
         copied.mkdir()
         (copied / book.path.name).write_bytes(book.path.read_bytes())
         (copied / log.name).write_bytes(torn)
-        again = Book(copied, LENGTH, Random(1))
+        again = Book(copied, LENGTH)
         self.assertEqual((sum(a.ops for a in again.totals().values()), again.verify()), (10, []))
         again.close_file()
 
@@ -509,7 +509,7 @@
         batches, statements = chain(6), set()
         for seed in range(12):
             with tempfile.TemporaryDirectory() as folder:
-                vault = Vault(Path(folder), Random(seed))
+                vault = Vault(Path(folder))
                 vault.greet(b"B" * 16, "n1")
                 many = Random(seed).choices(batches, k=20) + Random(seed).sample(batches, 6)
                 for batch in many:
@@ -523,13 +523,13 @@
         batches = chain(4)
         for name, nth in itertools.product(("receive", "keep", "kept"), (1, 3)):
             with self.subTest(name=name, nth=nth), tempfile.TemporaryDirectory() as folder:
-                vault = Vault(Path(folder), Random(1), Step(name, nth))
+                vault = Vault(Path(folder), Step(name, nth))
                 vault.greet(b"B" * 16, "n1")
                 with self.assertRaises(Killed):
                     for batch in batches:
                         vault.take(b"B" * 16, batch)
                 vault.close_file()
-                again = Vault(Path(folder), Random(9))
+                again = Vault(Path(folder))
                 self.assertEqual(again.mark, vault.mark)
                 self.assertEqual(again.held(b"B" * 16).high, nth - (name != "kept"))
                 for batch in batches:
@@ -579,10 +579,10 @@
         self.at, self.now, self.truth = Path(self.folder.name), 1000.0, dict[str, int]()
         self.starts, self.old = 0, list[Batch]()
         self.open_book()
-        self.vault = Vault(self.at / "vault", Random(2))
+        self.vault = Vault(self.at / "vault")
 
     def open_book(self) -> None:
-        self.book = Book(self.at / "book", LENGTH, Random(1), durable=False)
+        self.book = Book(self.at / "book", LENGTH, durable=False)
 
     @rule(tenants=st.lists(st.sampled_from("abc"), min_size=1, max_size=5), later=st.floats(-30, 30))
     def use(self, tenants: list[str], later: float) -> None:
@@ -642,7 +642,7 @@
     @rule()
     def restart_the_receiver(self) -> None:
         self.vault.close_file()
-        self.vault = Vault(self.at / "vault", Random(5))
+        self.vault = Vault(self.at / "vault")
 
     @invariant()
     def sound(self) -> None:
--- /dev/null
+++ b/tests/test_ledger_net.py
@@ -0,0 +1,395 @@
+"""The ledger on sockets: what clients counted against statements, disks and receivers that fail, kills at
+random."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sqlite3
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from collections import Counter
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager, suppress
+from pathlib import Path
+from random import Random
+from secrets import token_hex
+from typing import Any
+from unittest import mock
+
+import anyio
+from anyio.abc import SocketStream
+from click.testing import CliRunner
+
+from examples.standins import LOST, Processor, Router, StandIn
+from standins.fleet import Instance, free_port
+from tests.server import Place, place
+from thymeyoke import orders
+from thymeyoke.__main__ import main
+from thymeyoke.ledger import keeper, statement, wire
+from thymeyoke.ledger.book import Book
+from thymeyoke.ledger.entries import Kind
+from thymeyoke.ledger.receiver import Receiver
+from thymeyoke.ledger.vault import Vault
+from thymeyoke.net import log
+
+KILLS = int(os.environ.get("THYMEYOKE_KILLS", "6"))  # a long run is recorded in docs/ledger.md
+
+
+class Far(StandIn):
+    """The real receiver behind a listener that first misbehaves, connection by connection."""
+
+    def __init__(self, vault: Vault, *faults: str) -> None:
+        super().__init__()
+        self.receiver, self.faults = Receiver(vault), list(faults)
+        self.connections = 0
+
+    async def speak(self, stream: SocketStream) -> None:
+        self.connections += 1
+        match self.faults.pop(0) if self.faults else "":
+            case "noise":
+                await stream.send(b"\xff" * 64)
+            case "half":
+                await stream.send(wire.encode(wire.Welcome(bytes(16), 0, b""))[:9])
+            case "mute":
+                await anyio.sleep_forever()
+            case "cut":
+                await stream.receive()
+            case "out of turn":
+                await stream.send(wire.encode(wire.Taken(0, b"")))
+                await stream.receive()
+            case _:
+                await self.receiver._serve(stream)
+
+
+async def until(true: Callable[[], Any], within: float = 6.0) -> Any:
+    with anyio.fail_after(within):
+        while not (found := true()):
+            await anyio.sleep(0.01)
+    return found
+
+
+class Ledgers(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        log.counts.clear()
+
+    def orders(self, port: int = 0, **options: Any) -> Callable[[], orders.Orders]:
+        lines = ["[ledger]", f"path = {self.folder / 'book'}", "period = 1"]
+        lines += [f"{name} = {value}" for name, value in options.items()]
+        lines += ["[ledger.export]", f"receiver = 127.0.0.1:{port}"] if port else []
+        path = self.folder / "service.ini"
+        path.write_text("\n".join(lines))
+        return lambda: orders.read(path)
+
+    @asynccontextmanager
+    async def far(self, *faults: str) -> AsyncIterator[Far]:
+        vault = Vault(self.folder / "vault")
+        try:
+            async with anyio.create_task_group() as tasks:
+                far = Far(vault, *faults)
+                await tasks.start(far.run)
+                yield far
+                tasks.cancel_scope.cancel()
+        finally:
+            vault.close_file()
+
+    async def ops(self, here: Place, many: int, counted: Counter[tuple[str, str, str]]) -> None:
+        router = await here.router()
+        sent = []
+        for at in range(many):
+            tenant, type_ = ("north", "south")[at % 3 == 0], ("look", "buy")[at % 2]
+            number = await router.ask(type_, b"x" * (at % 7), project=tenant, replay=token_hex(16))
+            sent.append((number, tenant, type_))
+            if at % 8 == 7:
+                await router.answer(number)
+        for number, tenant, type_ in sent:
+            error, _ = await router.answer(number)
+            counted[tenant, type_, "nacked" if error else "acked"] += 1
+
+    def test_statements_match_what_clients_counted(self) -> None:
+        async def run(answers: str) -> None:
+            counted: Counter[tuple[str, str, str]] = Counter()
+            async with self.far() as far:
+                asked = self.orders(far.port, answers=answers)
+                async with place(Processor(0.002, calls=0), orders=asked) as here:
+                    await self.ops(here, 120, counted)
+                    await until(lambda: sum(map(rows_of(far), ("acked", "nacked"))) == 120)
+                rows = statement.statement(far.receiver.vault.streams())
+                found: Counter[tuple[str, str, str]] = Counter()
+                for row in rows:
+                    found[row["tenant"], row["type"], row["kind"]] += row["ops"]
+                    self.assertTrue(row["whole"])
+                    if row["kind"] == "acked":
+                        self.assertGreaterEqual(row["run"], row["ops"] * 1000)
+                        self.assertGreater(row["octets"], 0)
+                self.assertEqual(found, counted)
+                self.assertEqual(far.receiver.vault.verify(), [])
+                self.assertEqual(log.counts["ledger_told_unbacked"], 0)
+
+        for answers in ("after", "before"):
+            with self.subTest(answers=answers):
+                self.setUp()
+                anyio.run(run, answers)
+
+    def test_repeats_are_charged_nothing(self) -> None:
+        async def run() -> None:
+            async with place(Processor(0.05, calls=0), orders=self.orders()) as here:
+                router = await here.router()
+                mark = token_hex(16)
+                numbers = [await router.ask("buy", b"x", replay=mark) for _ in range(3)]
+                for number in numbers:
+                    self.assertIsNone((await router.answer(number))[0])
+                await until(lambda: log.counts["ledger_entries"] == 3)
+            book = Book(self.folder / "book", 1, begin=False)
+            kinds = Counter(entry.line.kind for entry in book.entries())
+            free = [entry.amounts for entry in book.entries() if entry.line.kind == Kind.REPEAT]
+            book.close_file()
+            self.assertEqual(kinds, {Kind.ACKED: 1, Kind.REPEAT: 2})
+            self.assertEqual({tuple(amounts) for amounts in free}, {(1, 0, 0, 0, 0)})
+
+        anyio.run(run)
+
+    def test_a_disk_that_hangs_holds_up_no_answer(self) -> None:
+        """An fsync takes a second and more: answers go out at their moment, entries follow, none is lost."""
+        real = Book.append
+
+        def slow(book: Book, uses: Any) -> int:
+            time.sleep(1.2)
+            return real(book, uses)
+
+        async def run() -> None:
+            async with place(Processor(0.002, calls=0), orders=self.orders()) as here:
+                with mock.patch.object(Book, "append", slow):
+                    router = await here.router()
+                    for _ in range(10):
+                        began = time.time()
+                        self.assertIsNone((await router.answer(await router.ask("look")))[0])
+                        self.assertLess(time.time() - began, 0.4)
+                    self.assertGreater(log.counts["ledger_told_unbacked"], 5)
+                await until(lambda: log.counts["ledger_entries"] == 10, 8.0)
+
+        anyio.run(run)
+
+    def test_a_full_disk_refuses_or_loses_as_told(self) -> None:
+        async def run(full: str) -> None:
+            broken = mock.patch.object(
+                Book, "append", side_effect=sqlite3.OperationalError("database or disk is full")
+            )
+            with mock.patch.object(keeper, "MOST", 20):
+                async with place(Processor(0.002, calls=0), orders=self.orders(full=full)) as here:
+                    router, errors = await here.router(), []
+                    with broken:
+                        for _ in range(30):
+                            began = time.time()
+                            errors.append((await router.answer(await router.ask("look")))[0])
+                            self.assertLess(time.time() - began, 0.4)
+                        self.assertGreater(log.counts["ledger_commit_failed"], 0)
+                    refused = sum(error is not None for error in errors)
+                    if full == "refuse":
+                        self.assertEqual(
+                            (refused, log.counts["refused_by_ledger"]), (30 - (30 - refused), refused)
+                        )
+                        self.assertTrue(15 <= refused <= 20, refused)
+                        self.assertEqual(log.counts["ledger_lost"], 0)
+                    else:
+                        self.assertEqual((refused, log.counts["ledger_lost"] > 0), (0, True))
+                    kept = 30 - refused - log.counts["ledger_lost"]
+                    await until(lambda: log.counts["ledger_entries"] == kept, 8.0)
+                    self.assertIsNone((await router.answer(await router.ask("look")))[0])
+
+        for full in ("refuse", "lose"):
+            with self.subTest(full=full):
+                self.setUp()
+                anyio.run(run, full)
+
+    def test_receivers_that_misbehave(self) -> None:
+        """Noise, half a message, a cut, an answer out of turn: the next connection brings all of it, once."""
+
+        async def run() -> None:
+            async with (
+                self.far("noise", "half", "cut", "out of turn") as far,
+                place(Processor(0.002, calls=0), orders=self.orders(far.port)) as here,
+            ):
+                await self.ops(here, 40, Counter())
+                await until(lambda: sum(map(rows_of(far), ("acked", "nacked"))) == 40, 18.0)
+                self.assertGreaterEqual(far.connections, 5)
+                self.assertEqual(log.counts["ledger_export_halted"], 0)
+
+        anyio.run(run)
+
+    def test_strangers_at_the_receiver(self) -> None:
+        async def run() -> None:
+            async with self.far() as far:
+                for said in (b"GET / HTTP/1.1\r\n\r\n", wire.encode(wire.Batch(1, b"", b"")),
+                             wire.encode(wire.Hello("n", b"short", 0)), b"\0\0\0\5abc"):  # fmt: skip
+                    stream = await anyio.connect_tcp("127.0.0.1", far.port)
+                    await stream.send(said)
+                    if said.startswith(b"\0\0\0\5"):
+                        await stream.send_eof()
+                    with suppress(*LOST):
+                        while b"without its mark" not in await stream.receive():
+                            pass
+                    await stream.aclose()
+                self.assertEqual(far.receiver.vault.streams(), [])
+
+        anyio.run(run)
+
+    def test_commands(self) -> None:
+        book = Book(self.folder, 60)
+        from tests.test_ledger import use
+
+        book.append([use(1000.0), use(1001.0, "south")])
+        book.close(2000.0)
+        vault = Vault(self.folder)
+        vault.greet(book.mark, "n1")
+        vault.take(book.mark, book.batch(1) or self.fail())
+        book.close_file()
+        vault.close_file()
+
+        def say(*command: str) -> tuple[int, str]:
+            done = CliRunner().invoke(main, ["ledger", *command, "--path", str(self.folder)])
+            return done.exit_code, done.output
+
+        code, text = say("show", "--tenant", "north")
+        self.assertEqual(code, 0)
+        self.assertRegex(text, r"1.1 +16 +north +look +acked +1 +0.250000 +1 +1.500000 +300")
+        self.assertEqual(
+            say("correct", "--entry", "1.1", "--amount", "run=-0.25,ops=-1", "--why", "ran for nobody")[0], 0
+        )
+        for bad in (("--entry", "9.9", "--amount", "run=1"), ("--entry", "1.1", "--amount", "runs=1")):
+            self.assertNotEqual(say("correct", *bad, "--why", "x")[0], 0)
+        self.assertEqual(say("verify"), (0, "all fits\n"))
+        self.assertRegex(say("statement", "--tenant", "south")[1], r"16 +1 +south +look +acked +1 +0.250000")
+        self.assertRegex(say("explain", "north", "16")[1], r"n1 +[0-9a-f]{8} +1 +1 +look +acked")
+        store = sqlite3.connect(self.folder / "ledger.db")
+        store.execute("UPDATE entries SET run = 1 WHERE number = 2")
+        store.commit()
+        store.close()
+        code, text = say("verify")
+        self.assertEqual((code, "are not as they were committed" in text), (1, True))
+        empty = CliRunner().invoke(main, ["ledger", "show", "--path", str(self.folder / "none")])
+        self.assertEqual((empty.exit_code, "holds no book" in empty.output), (1, True))
+
+
+def rows_of(far: Far) -> Callable[[str], int]:
+    def many(kind: str) -> int:
+        rows = statement.statement(far.receiver.vault.streams())
+        return sum(row["ops"] for row in rows if row["kind"] == kind)
+
+    return many
+
+
+class Kills(unittest.TestCase):
+    """Instances and the receiver killed at random, and what clients counted against the statements."""
+
+    def test_killed_at_random(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            anyio.run(self.run_it, Path(folder), Random(17))
+
+    async def run_it(self, folder: Path, rng: Random) -> None:
+        port, many = free_port(), [Instance(number, folder) for number in range(3)]
+        command = [sys.executable, "-m", "thymeyoke", "ledger", "receive", "--listen", f"127.0.0.1:{port}",
+                   "--path", str(folder / "vault")]  # fmt: skip
+        acked: Counter[int] = Counter()
+        doubtful: Counter[int] = Counter()  # out when the instance was killed
+
+        def receive() -> subprocess.Popen[bytes]:
+            return subprocess.Popen(command, stderr=subprocess.DEVNULL)
+
+        receiver = receive()
+        try:
+            async with anyio.create_task_group() as tasks:
+                for one in many:
+                    await one.around(tasks)
+                    one.processor.span, one.processor.cores, one.port = 0.005, None, free_port()
+                    one.extra = f"[ledger]\npath = {folder / str(one.number)}\nperiod = 1\n[ledger.export]\nreceiver = 127.0.0.1:{port}"  # noqa: E501
+                    one.start([])
+                    tasks.start_soon(self.client, one, tasks, acked, doubtful)
+                for _ in range(KILLS):
+                    await anyio.sleep(rng.uniform(0.3, 1.5))
+                    if rng.random() < 0.25:
+                        receiver.kill()
+                        receiver.wait()
+                        receiver = receive()
+                        continue
+                    one = rng.choice(many)
+                    one.signal(signal.SIGKILL)
+                    await one.gone()
+                    one.start([])
+                await anyio.sleep(2.5)
+                for one in many:
+                    one.stopping = True
+                await anyio.sleep(0.5)
+                vault = Vault(folder / "vault")
+                try:
+                    await until(lambda: self.statement(vault) == self.books(many, folder), 20.0)
+                    found = self.statement(vault)
+                    self.assertEqual(vault.verify(), [])
+                finally:
+                    vault.close_file()
+                tasks.cancel_scope.cancel()
+        finally:
+            receiver.kill()
+            receiver.wait()
+            for one in many:
+                one.end()
+        self.assertGreater(sum(acked.values()), 20 * KILLS)
+        for one in many:
+            # Under `after` what a client counted is there; more only by ops whose answers a kill took away.
+            more = found[one.number] - acked[one.number]
+            self.assertTrue(0 <= more <= doubtful[one.number], (more, doubtful))
+        if KILLS > 6:
+            print(
+                f"{KILLS} kills: acked {sum(acked.values())}, entered {sum(found.values())}, in doubt "
+                f"{doubtful}"
+            )
+
+    def statement(self, vault: Vault) -> Counter[int]:
+        found: Counter[int] = Counter()
+        for stream in vault.streams():
+            for row in statement.statement([stream]):
+                if row["kind"] == "acked":
+                    found[int(stream.name[1:])] += row["ops"]
+        return found
+
+    def books(self, many: list[Instance], folder: Path) -> Counter[int]:
+        found: Counter[int] = Counter()
+        for one in many:
+            store = sqlite3.connect(folder / str(one.number) / "ledger.db")
+            (found[one.number],) = store.execute(
+                "SELECT (SELECT COUNT(*) FROM entries WHERE kind = 1) + "
+                "COALESCE((SELECT SUM(ops) FROM folded WHERE kind = 1), 0)"
+            ).fetchone()
+            store.close()
+        return found
+
+    async def client(self, one: Instance, tasks: Any, acked: Counter[int], doubtful: Counter[int]) -> None:
+        """Some ops at a time; those without an answer when the connection goes are in doubt."""
+        one.stopping = False
+        while not one.stopping:
+            try:
+                router = await Router.connect(tasks, "127.0.0.1", one.port)
+            except OSError:
+                await anyio.sleep(0.02)
+                continue
+            while not router.closed and not one.stopping:
+                numbers = []
+                with suppress(*LOST, OSError):
+                    for _ in range(4):
+                        numbers.append(await router.ask("look", b"x"))
+                with suppress(TimeoutError):
+                    await router.until(
+                        lambda r=router, n=numbers: r.closed or all(at in r.answers for at in n), 3.0
+                    )
+                for number in numbers:
+                    if number not in router.answers:
+                        doubtful[one.number] += 1
+                    elif router.answers[number][0] is None:
+                        acked[one.number] += 1
+                await anyio.sleep(0.01)
--- a/thymeyoke/ledger/book.py
+++ b/thymeyoke/ledger/book.py
@@ -1,6 +1,9 @@
 """The book of one instance: entries, closed periods and the batches made of them, in SQLite (WAL).
 Append-only.
 
+A book's mark is not drawn from the instance's seed: two instances that were given one seed had one mark,
+and the receiver took them for one book.
+
 Not async: the keeper calls it from a thread of its own. Each method that writes is one transaction: after a
 crash it has happened in whole or not at all. `step` is called by name before and after each, so that a test
 can end the process there.
@@ -18,7 +21,7 @@
 from contextlib import contextmanager
 from hashlib import sha256
 from pathlib import Path
-from random import Random
+from secrets import token_bytes
 from typing import Any, NamedTuple
 
 from thymeyoke.ledger import wire
@@ -89,7 +92,7 @@
 
 class Book:
     def __init__(
-        self, folder: Path, length: int, rng: Random, durable: bool = True,
+        self, folder: Path, length: int, durable: bool = True,
         step: Callable[[str], None] = no_step, begin: bool = True,
     ) -> None:  # fmt: skip
         """Open the book in a folder, or make it. `begin`: this is a start of the instance, not a look at
@@ -100,7 +103,7 @@
         self._names: dict[str, int] = {}
         self._texts: dict[int, str] = {}
         try:
-            self._open(length, rng, begin)
+            self._open(length, begin)
         except sqlite3.DatabaseError as error:
             self.store.close()
             raise BadBook(f"{self.path}: {error}") from None
@@ -108,12 +111,12 @@
             self.store.close()
             raise
 
-    def _open(self, length: int, rng: Random, begin: bool) -> None:
+    def _open(self, length: int, begin: bool) -> None:
         with Transaction(self.store):
             if not self.store.execute("SELECT 1 FROM sqlite_master WHERE name = 'meta'").fetchone():
                 for statement in TABLES.strip().split(";\n"):
                     self.store.execute(statement)
-                first = {"format": FORMAT, "book": rng.randbytes(16), "length": length, "start": 0,
+                first = {"format": FORMAT, "book": token_bytes(16), "length": length, "start": 0,
                          "latest": 0.0, "closed": -1, "acked": 0, "receiver": b"", "kept": 1,
                          "anchor": b"", "group": b"", "folded_through": 0}  # fmt: skip
                 self.store.executemany("INSERT INTO meta VALUES (?, ?)", first.items())
--- a/thymeyoke/ledger/commands.py
+++ b/thymeyoke/ledger/commands.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import getpass
-import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
-from random import SystemRandom
 from typing import Any
 
 import click
@@ -41,7 +39,7 @@
         store = books.connect(path / books.FILE)
         (length,) = store.execute("SELECT value FROM meta WHERE name = 'length'").fetchone()
         store.close()
-        book = Book(path, length, SystemRandom(), begin=False)
+        book = Book(path, length, begin=False)
     except (BadBook, books.sqlite3.Error) as error:
         raise click.ClickException(
             f"{path / books.FILE}: {error}".replace(f"{path / books.FILE}: " * 2, "")
@@ -61,7 +59,7 @@
             f"{path} holds nothing received ({vaults.FILE}); name the receiver's folder"
         )
     try:
-        vault = Vault(path, SystemRandom())
+        vault = Vault(path)
     except BadBook as error:
         raise click.ClickException(str(error)) from None
     try:
@@ -184,7 +182,7 @@
         raise click.UsageError(f"--listen {listen!r} can't be used; give an IP address and a port") from None
     log.set_up(log_level, log_form)
     try:
-        anyio.run(receiver.receive, str(where.ip), where.port, path, time.time_ns())
+        anyio.run(receiver.receive, str(where.ip), where.port, path)
     except (BadBook, OSError) as error:
         raise click.ClickException(str(error)) from None
 
--- a/thymeyoke/ledger/export.py
+++ b/thymeyoke/ledger/export.py
@@ -196,7 +196,6 @@
     return None
 
 
-def greet(held: Held, hello: Hello, receiver: bytes) -> Welcome | Refused:
-    if len(hello.book) != 16:
-        return Refused("a book without its mark")
-    return Welcome(receiver, *held)
+def stranger(hello: Hello) -> Refused | None:
+    """Why a sender is not listened to."""
+    return Refused("a book without its mark") if len(hello.book) != 16 else None
--- a/thymeyoke/ledger/keeper.py
+++ b/thymeyoke/ledger/keeper.py
@@ -130,7 +130,7 @@
     async def run(self) -> None:
         try:
             self.book = await self._off(lambda: Book(
-                Path(self.told.path), self.told.period, self.rng, self.told.answers == "after"))  # fmt: skip
+                Path(self.told.path), self.told.period, self.told.answers == "after"))  # fmt: skip
         except BadBook as error:
             log.counts["ledger_bad_book"] += 1
             log.say(logging.ERROR, "no ledger", why=str(error))
@@ -223,7 +223,7 @@
 def probe(told: Ledger) -> None:
     """Whether this machine can carry the section out; `behind.Refused` else."""
     try:
-        Book(Path(told.path), told.period, Random(0), begin=False).close_file()
+        Book(Path(told.path), told.period, begin=False).close_file()
     except BadBook as error:
         raise Refused(f"[ledger] path: {error}") from None
     except (OSError, sqlite3.Error) as error:
--- a/thymeyoke/ledger/receiver.py
+++ b/thymeyoke/ledger/receiver.py
@@ -5,14 +5,13 @@
 import logging
 import signal
 from pathlib import Path
-from random import Random
 
 import anyio
 from anyio import to_thread
 from anyio.abc import SocketAttribute, SocketStream, TaskStatus
 
 from thymeyoke.ledger import wire
-from thymeyoke.ledger.export import greet
+from thymeyoke.ledger.export import stranger
 from thymeyoke.ledger.vault import Vault
 from thymeyoke.net import log
 
@@ -63,9 +62,13 @@
                     answer: wire.Say
                     match said:
                         case wire.Hello(name, mark, _) if not book:
-                            held = await self._off(lambda mark=mark, name=name: self.vault.greet(mark, name))
-                            answer, book = greet(held, said, self.vault.mark), mark
-                            first.deadline = float("inf")
+                            if (refused := stranger(said)) is None:
+                                held = await self._off(
+                                    lambda mark=mark, name=name: self.vault.greet(mark, name)
+                                )
+                                book = mark
+                                first.deadline = float("inf")
+                            answer = refused or wire.Welcome(self.vault.mark, *held)
                         case wire.Batch() if book:
                             answer = await self._off(lambda book=book, said=said: self.vault.take(book, said))
                             kind = "refused" if isinstance(answer, wire.Refused) else "taken"
@@ -80,9 +83,9 @@
         return await to_thread.run_sync(what, limiter=self.limiter)
 
 
-async def receive(host: str, port: int, folder: Path, seed: int) -> None:
+async def receive(host: str, port: int, folder: Path) -> None:
     """Until SIGTERM or SIGINT."""
-    vault = Vault(folder, Random(seed))
+    vault = Vault(folder)
     try:
         async with anyio.create_task_group() as tasks:
             await tasks.start(Receiver(vault).run, host, port)
--- a/thymeyoke/ledger/vault.py
+++ b/thymeyoke/ledger/vault.py
@@ -6,7 +6,7 @@
 import sqlite3
 from collections.abc import Callable
 from pathlib import Path
-from random import Random
+from secrets import token_bytes
 
 from thymeyoke.ledger import wire
 from thymeyoke.ledger.book import BadBook, Transaction, connect, no_step
@@ -25,7 +25,7 @@
 
 
 class Vault:
-    def __init__(self, folder: Path, rng: Random, step: Callable[[str], None] = no_step) -> None:
+    def __init__(self, folder: Path, step: Callable[[str], None] = no_step) -> None:
         folder.mkdir(parents=True, exist_ok=True)
         self.path, self.step = folder / FILE, step
         self.store = connect(self.path)
@@ -34,7 +34,7 @@
                 if not self.store.execute("SELECT 1 FROM sqlite_master WHERE name = 'meta'").fetchone():
                     for statement in TABLES.strip().split(";\n"):
                         self.store.execute(statement)
-                    first = {"format": FORMAT, "receiver": rng.randbytes(16)}
+                    first = {"format": FORMAT, "receiver": token_bytes(16)}
                     self.store.executemany("INSERT INTO meta VALUES (?, ?)", first.items())
             query = "SELECT value FROM meta WHERE name = ?"
             (format_,) = self.store.execute(query, ("format",)).fetchone()
