--- /dev/null
+++ b/benchmarks/ledger.py
@@ -0,0 +1,261 @@
+"""What the ledger costs. `python -m benchmarks.ledger`: one table, or JSON lines with `--json`.
+
+Servers are processes of their own, as in service (`-O`); times are this machine's and this disk's, so quote
+the ratios.
+"""
+
+from __future__ import annotations
+
+import os
+import shutil
+import statistics
+import struct
+import tempfile
+import time
+import zlib
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import anyio
+import click
+import orjson
+
+from benchmarks.announce import cpu, rss
+from examples.standins import Router
+from standins.fleet import Instance, free_port
+from thymeyoke.ledger import wire
+from thymeyoke.ledger.book import Book
+from thymeyoke.ledger.entries import Amounts, Kind, Line, Use
+from thymeyoke.ledger.receiver import Receiver
+from thymeyoke.ledger.vault import Vault
+
+OPS, AT_ONCE, ROUNDS = 6000, 16, 3
+MILLION = 1_000_000
+BOOKS, BATCHES = 100, 20
+WAYS = ("off", "before", "after")
+
+
+def calls(pid: int) -> int:
+    """Reads and writes that a process has asked of the system."""
+    told = dict(line.split(": ") for line in Path(f"/proc/{pid}/io").read_text().splitlines())
+    return int(told["syscr"]) + int(told["syscw"])
+
+
+async def measured(way: str, found: dict[str, dict[str, list[float]]]) -> None:
+    with tempfile.TemporaryDirectory(dir=os.environ.get("THYMEYOKE_DISK")) as folder:
+        one = Instance(0, Path(folder))
+        async with anyio.create_task_group() as tasks:
+            await one.around(tasks)
+            one.processor.span, one.processor.cores, one.port = 0.0, None, free_port()
+            if way != "off":
+                one.extra = f"[ledger]\npath = {folder}/book\nanswers = {way}\nperiod = 3600"
+            one.start([])
+            assert one.process is not None
+            pid, row = one.process.pid, found.setdefault(way, {})
+            try:
+                with anyio.fail_after(10):
+                    while "up" not in [orjson.loads(line)["what"] for line in one.log().splitlines()]:
+                        await anyio.sleep(0.05)
+                router = await Router.connect(tasks, "127.0.0.1", one.port)
+                await closed_loop(router, 500)
+                row.setdefault("RSS", []).append(rss(pid))
+                before = time.time(), cpu(pid), calls(pid)
+                spans = sorted(await closed_loop(router, OPS))
+                took, used, asked = time.time() - before[0], cpu(pid) - before[1], calls(pid) - before[2]
+                row.setdefault("ops a second", []).append(OPS / took)
+                row.setdefault("answer, median ms", []).append(spans[len(spans) // 2] * 1e3)
+                row.setdefault("answer, 99th ms", []).append(spans[int(0.99 * len(spans))] * 1e3)
+                row.setdefault("CPU an op, us", []).append(used / OPS * 1e6)
+                row.setdefault("reads and writes an op", []).append(asked / OPS)
+            finally:
+                one.end()
+                tasks.cancel_scope.cancel()
+
+
+async def closed_loop(router: Router, many: int) -> list[float]:
+    """AT_ONCE ops are out at any time; how long each answer took."""
+    spans: list[float] = []
+
+    async def caller() -> None:
+        while len(spans) < many:
+            began = time.time()
+            number = await router.ask("look", b"x")
+            await router.answer(number)
+            del router.answers[number]
+            spans.append(time.time() - began)
+
+    async with anyio.create_task_group() as tasks:
+        for _ in range(AT_ONCE):
+            tasks.start_soon(caller)
+    return spans
+
+
+async def served(rows: list[dict[str, Any]]) -> None:
+    found: dict[str, dict[str, list[float]]] = {}
+    for _ in range(ROUNDS):
+        for way in WAYS:
+            await measured(way, found)
+    for name in found["off"]:
+        base = statistics.median(found["off"][name])
+        for way in WAYS:
+            value = statistics.median(found[way][name])
+            rows.append({"what": f"{name}, ledger {way}", "value": value, "unit": "", "ratio": value / base})
+
+
+def uses(many: int, at: float) -> Iterator[list[Use]]:
+    """In groups of 1000, of 50 tenants, over an hour."""
+    for first in range(0, many, 1000):
+        yield [
+            Use(
+                at + 3600 * (first + n) / many,
+                f"tenant {n % 50}",
+                ("look", "buy")[n % 2],
+                Kind.ACKED,
+                0.1,
+                1,
+                1.0,
+                300,
+            )
+            for n in range(1000)
+        ]
+
+
+def timed(what: Callable[[], Any]) -> float:
+    began = time.perf_counter()
+    what()
+    return time.perf_counter() - began
+
+
+def stores(rows: list[dict[str, Any]]) -> None:
+    """SQLite against an own segment file with checksums: groups a second with an fsync each, and octets an
+    op."""
+    with tempfile.TemporaryDirectory(dir=os.environ.get("THYMEYOKE_DISK")) as folder:
+        for size in (1, 16, 1000):
+            group = next(uses(1000, 1000.0))[:size]
+            many = 300 if size < 1000 else 60
+            book = Book(Path(folder) / f"b{size}", 60)
+            sqlite = timed(
+                lambda book=book, group=group, many=many: [book.append(group) for _ in range(many)]
+            )
+            book.close_file()
+            segment = open(Path(folder) / f"s{size}", "ab", buffering=0)  # noqa: SIM115
+            own = timed(lambda s=segment, group=group, many=many: [_segment(s, group) for _ in range(many)])
+            segment.close()
+            rows.append(
+                {
+                    "what": f"SQLite, groups of {size} a second",
+                    "value": many / sqlite,
+                    "unit": "",
+                    "ratio": own / sqlite,
+                }
+            )
+        octets = os.path.getsize(Path(folder) / "b1000" / "ledger.db") / 60_000
+        own_octets = os.path.getsize(Path(folder) / "s1000") / 60_000
+        rows.append(
+            {"what": "SQLite, octets an op", "value": octets, "unit": "", "ratio": octets / own_octets}
+        )
+
+
+def _segment(file: Any, group: list[Use]) -> None:
+    body = b"".join(struct.pack("<QHHB5q", 1, 1, 1, one.kind, *one.amounts()) for one in group)
+    file.write(struct.pack("<II", len(body), zlib.crc32(body)) + body)
+    os.fsync(file.fileno())
+
+
+def a_million(rows: list[dict[str, Any]]) -> None:
+    with tempfile.TemporaryDirectory(dir=os.environ.get("THYMEYOKE_DISK")) as folder:
+        book = Book(Path(folder) / "book", 60, durable=False)
+        filled = timed(lambda: [book.append(group) for group in uses(MILLION, 1_000_000.0)])
+        rows.append(
+            {
+                "what": "a million ops entered, ops a second",
+                "value": MILLION / filled,
+                "unit": "",
+                "ratio": None,
+            }
+        )
+        shutil.copytree(Path(folder) / "book", Path(folder) / "killed")  # with its log, as a kill leaves it
+        size = sum(path.stat().st_size for path in (Path(folder) / "killed").iterdir())
+        rows.append({"what": "octets an op", "value": size / MILLION, "unit": "", "ratio": None})
+        began = time.perf_counter()
+        again = Book(Path(folder) / "killed", 60)
+        opened = time.perf_counter() - began
+        rows.append({"what": "to open it after a kill", "value": opened * 1e3, "unit": "ms", "ratio": 1.0})
+        closed = timed(lambda: again.close(2_000_000.0))
+        rows.append(
+            {"what": "to close its 60 periods", "value": closed * 1e3, "unit": "ms", "ratio": closed / opened}
+        )
+        verified = timed(
+            lambda: rows.append({"what": "wrong", "value": len(again.verify()), "unit": "", "ratio": None})
+        )
+        rows.append(
+            {"what": "to verify it", "value": verified * 1e3, "unit": "ms", "ratio": verified / opened}
+        )
+        again.close_file()
+        book.close_file()
+
+
+async def received(rows: list[dict[str, Any]]) -> None:
+    """A receiver, batches of 50 rows from 100 instances at once."""
+    with tempfile.TemporaryDirectory(dir=os.environ.get("THYMEYOKE_DISK")) as folder:
+        vault = Vault(Path(folder))
+        async with anyio.create_task_group() as tasks:
+            port = await tasks.start(Receiver(vault).run, "127.0.0.1", 0)
+            began = time.time()
+            async with anyio.create_task_group() as senders:
+                for at in range(BOOKS):
+                    senders.start_soon(_export, port, at)
+            took = time.time() - began
+            tasks.cancel_scope.cancel()
+        vault.close_file()
+    many = BOOKS * BATCHES
+    rows.append(
+        {"what": f"batches a second from {BOOKS} instances", "value": many / took, "unit": "", "ratio": None}
+    )
+
+
+async def _export(port: int, at: int) -> None:
+    stream = await anyio.connect_tcp("127.0.0.1", port)
+    before = b""
+    await stream.send(wire.encode(wire.Hello(f"n{at}", at.to_bytes(16, "big"), BATCHES)))
+    await stream.receive()
+    for number in range(1, BATCHES + 1):
+        lines = tuple((Line(f"tenant {n}", "look", Kind.ACKED), Amounts(n, n, n, n, n)) for n in range(50))
+        batch = wire.Batch(number, before, wire.body(wire.Body(number, number, 1, 1, 1, 60, lines)))
+        before = batch.hash
+        await stream.send(wire.encode(batch))
+        await stream.receive()
+    await stream.aclose()
+
+
+@click.command()
+@click.option("--json", "as_json", is_flag=True, help="JSON lines.")
+@click.option(
+    "--only", type=click.Choice(["served", "stores", "million", "received"]), help="One part of it."
+)
+def main(as_json: bool, only: str | None) -> None:
+    """Measure what the ledger costs. THYMEYOKE_DISK names a folder on the disk to measure.
+
+    \b
+    Example: python -m benchmarks.ledger --only stores
+    """
+    rows: list[dict[str, Any]] = []
+    if only in (None, "served"):
+        anyio.run(served, rows)
+    if only in (None, "stores"):
+        stores(rows)
+    if only in (None, "million"):
+        a_million(rows)
+    if only in (None, "received"):
+        anyio.run(received, rows)
+    for row in rows:
+        if as_json:
+            click.echo(orjson.dumps(row).decode())
+        else:
+            ratio = "" if row["ratio"] is None else f"{row['ratio']:8.2f}"
+            click.echo(f"{row['what']:44} {row['value']:12.2f} {row['unit']:3} {ratio}")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -5,9 +5,14 @@
 
 import copy
 import itertools
+import os
+import resource
+import signal
 import sqlite3
 import tempfile
 import unittest
+from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -39,16 +44,33 @@
 class Step:
     """Ends the process at the n-th step that it is asked for, by name; counts them."""
 
-    def __init__(self, name: str = "", nth: int = 1) -> None:
-        self.name, self.nth = name, nth
+    def __init__(self, name: str = "", nth: int = 1, end: Callable[[], None] | None = None) -> None:
+        self.name, self.nth, self.end = name, nth, end
         self.seen: list[str] = []
 
     def __call__(self, name: str) -> None:
         self.seen.append(name)
         if name == self.name and self.seen.count(name) == self.nth:
+            if self.end:
+                self.end()
             raise Killed(name)
 
 
+def kill_self() -> None:
+    os.kill(os.getpid(), signal.SIGKILL)
+
+
+def killed(what: Callable[[], object]) -> int:
+    """In a process of its own, until it is killed or done; the signal that ended it."""
+    child = os.fork()
+    if child == 0:
+        try:
+            what()
+        finally:
+            os._exit(0)
+    return os.WTERMSIG(os.waitpid(child, 0)[1])
+
+
 class Places(unittest.TestCase):
     def setUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
@@ -131,16 +153,21 @@
             if counted.seen.count(name) < nth:
                 continue
             with self.subTest(name=name, nth=nth), tempfile.TemporaryDirectory() as folder:
-                step = Step(name, nth)
-                book = Book(Path(folder), LENGTH, durable=False, step=step)
-                with self.assertRaises(Killed):
+                seen = Step(name, nth)
+                with suppress(Killed):
+                    book = Book(Path(folder) / "dry", LENGTH, durable=False, step=seen)
                     self.fill(book)
                 book.close_file()
+
+                def fill(at: Path = Path(folder), name: str = name, nth: int = nth) -> None:
+                    self.fill(Book(at, LENGTH, durable=False, step=Step(name, nth, kill_self)))
+
+                self.assertEqual(killed(fill), signal.SIGKILL)
                 # Committed groups are there in whole, the one at hand in whole or not at all.
                 book = Book(Path(folder), LENGTH, durable=False)
                 self.assertEqual((book.verify(), book.start), ([], 2))
                 ops = sum(amounts.ops for amounts in book.totals().values())
-                self.assertEqual(ops, 2 * step.seen.count("committed"))
+                self.assertEqual(ops, 2 * seen.seen.count("committed"))
                 book.close(5000.0)
                 self.assertEqual(book.verify(), [])
                 book.close_file()
@@ -215,6 +242,35 @@
         self.assertEqual((sum(a.ops for a in book.totals().values()), book.verify()), (10, []))
         book.append([use(1002.0)])
 
+    def test_a_process_with_a_limit_of_file_size(self) -> None:
+        """Entries up to the limit stand; the book opens, and goes on once there is room."""
+
+        def fill() -> None:
+            signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
+            resource.setrlimit(resource.RLIMIT_FSIZE, (1 << 18, 1 << 18))
+            book = Book(self.folder / "book", LENGTH)
+            for _ in range(100):
+                book.append([use(1000.0)] * 100)
+
+        self.assertEqual(killed(fill), 0)
+        book = self.book()
+        ops = sum(amounts.ops for amounts in book.totals().values())
+        self.assertTrue(0 < ops < 10_000 and ops % 100 == 0, ops)
+        book.append([use(1000.0)])
+        self.assertEqual(book.verify(), [])
+
+    def test_a_clock_set_back_an_hour_between_two_starts(self) -> None:
+        book = self.book()
+        book.append([use(5000.0)])
+        book.close(5020.0)
+        book.close_file()
+        again = self.book()
+        again.append([use(1400.0)])  # the first period that is open
+        self.assertEqual([entry.period for entry in again.entries()], [500, 501])
+        self.assertEqual(again.close(1420.0), [])
+        self.assertEqual(len(again.close(5040.0)), 1)
+        self.assertEqual(again.verify(), [])
+
     def test_corrections(self) -> None:
         book = self.book()
         book.append([use(1000.0)])
@@ -523,14 +579,18 @@
         batches = chain(4)
         for name, nth in itertools.product(("receive", "keep", "kept"), (1, 3)):
             with self.subTest(name=name, nth=nth), tempfile.TemporaryDirectory() as folder:
-                vault = Vault(Path(folder), Step(name, nth))
-                vault.greet(b"B" * 16, "n1")
-                with self.assertRaises(Killed):
+                made = Vault(Path(folder))
+                made.close_file()
+
+                def take(folder: str = folder, name: str = name, nth: int = nth) -> None:
+                    vault = Vault(Path(folder), Step(name, nth, kill_self))
+                    vault.greet(b"B" * 16, "n1")
                     for batch in batches:
                         vault.take(b"B" * 16, batch)
-                vault.close_file()
+
+                self.assertEqual(killed(take), signal.SIGKILL)
                 again = Vault(Path(folder))
-                self.assertEqual(again.mark, vault.mark)
+                self.assertEqual(again.mark, made.mark)
                 self.assertEqual(again.held(b"B" * 16).high, nth - (name != "kept"))
                 for batch in batches:
                     again.take(b"B" * 16, batch)
--- a/tests/test_ledger_net.py
+++ b/tests/test_ledger_net.py
@@ -27,9 +27,10 @@
 from examples.standins import LOST, Processor, Router, StandIn
 from standins.fleet import Instance, free_port
 from tests.server import Place, place
+from tests.test_ledger import use
 from thymeyoke import orders
 from thymeyoke.__main__ import main
-from thymeyoke.ledger import keeper, statement, wire
+from thymeyoke.ledger import export, keeper, statement, wire
 from thymeyoke.ledger.book import Book
 from thymeyoke.ledger.entries import Kind
 from thymeyoke.ledger.receiver import Receiver
@@ -223,6 +224,20 @@
 
         anyio.run(run)
 
+    def test_a_receiver_that_was_gone_for_ten_periods(self) -> None:
+        async def run() -> None:
+            book = Book(self.folder / "book", 1)
+            for at in range(12):
+                book.append([use(1000.0 + at)] * 3)
+                book.close(1001.6 + at)
+            book.close_file()
+            async with self.far("mute") as far, place(orders=self.orders(far.port)):
+                await until(lambda: sum(map(rows_of(far), ("acked",))) == 36, 12.0)
+                self.assertEqual(far.connections, 2)
+
+        with mock.patch.object(export, "ANSWER", 0.5):
+            anyio.run(run)
+
     def test_strangers_at_the_receiver(self) -> None:
         async def run() -> None:
             async with self.far() as far:
@@ -242,8 +257,6 @@
 
     def test_commands(self) -> None:
         book = Book(self.folder, 60)
-        from tests.test_ledger import use
-
         book.append([use(1000.0), use(1001.0, "south")])
         book.close(2000.0)
         vault = Vault(self.folder)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -15,6 +15,7 @@
 from examples.toy import START
 from thymeyoke import orders
 from thymeyoke.announce.section import Announce, HostPort, Peer
+from thymeyoke.ledger.section import Export, Ledger
 from thymeyoke.net import log
 
 GOOD = """
@@ -120,10 +121,8 @@
                 "changes": 6,
             },
         )
-        every = {field for kind in (Announce, Peer) for field in kind.__struct_encode_fields__} - {
-            "name",
-            "peers",
-        }
+        kinds = (Announce, Peer, Ledger, Export)
+        every = {field for kind in kinds for field in kind.__struct_encode_fields__} - {"name", "peers"}
         self.assertEqual({name for name in every if f"; {name} = " not in shipped.read_text()}, set())
 
     def test_what_cannot_be_taken_is_one_sentence(self) -> None:
