Ledger: a drain writes what is on its way, a book that is not open holds up no answer

Need: read over, three ways to break a rule: acked answers waited for a book that could not be opened, with nobody to tell them; a drain could end with uses still in memory; two tasks of the exporter could send at once. Change: without a running keeper answers are told at once and counted; a drain waits for the book, to just before the stop; a lock around sending; the sender learns which batches are still kept; subsystems that fail begin again ever more seldom; a refusal for the ledger's sake says when to return.

--- a/tests/test_ledger_net.py
+++ b/tests/test_ledger_net.py
@@ -209,6 +209,35 @@
                 self.setUp()
                 anyio.run(run, full)
 
+    def test_no_answer_waits_for_a_book_that_is_not_open(self) -> None:
+        async def run() -> None:
+            asked = self.orders()
+            slow = mock.patch.object(keeper, "Book", side_effect=keeper.BadBook("no book"))
+            slow.start()
+            async with place(Processor(0.002, calls=0), orders=asked) as here:
+                router = await here.router()
+                for _ in range(5):
+                    self.assertIsNone((await router.answer(await router.ask("look"), 1.0))[0])
+                self.assertEqual(log.counts["ledger_told_unbacked"], 5)
+                slow.stop()
+                await until(lambda: log.counts["ledger_entries"] == 5)
+
+        anyio.run(run)
+
+    def test_a_drain_writes_what_is_on_its_way(self) -> None:
+        async def run() -> None:
+            counted: Counter[tuple[str, str, str]] = Counter()
+            async with place(Processor(0.002, calls=0), orders=self.orders(answers="before")) as here:
+                await self.ops(here, 40, counted)
+                os.kill(os.getpid(), signal.SIGTERM)
+                await here.ended.wait()
+            book = Book(self.folder / "book", 1, begin=False)
+            found = Counter(entry.line.kind.name.lower() for entry in book.entries())
+            book.close_file()
+            self.assertEqual(sum(found.values()), 40)
+
+        anyio.run(run)
+
     def test_receivers_that_misbehave(self) -> None:
         """Noise, half a message, a cut, an answer out of turn: the next connection brings all of it, once."""
 
--- a/thymeyoke/ledger/exporter.py
+++ b/thymeyoke/ledger/exporter.py
@@ -32,13 +32,16 @@
         self.sender = Sender(rng, book.meta("acked"), last, kept, bytes(book.meta("receiver")))
         self.sender.hashes = book.hashes()
         self.stirred = anyio.Event()
+        self.talking = anyio.Lock()  # what is heard and what is new may both lead to sending
         self.said = ""
 
-    def made(self, made: list[Made]) -> None:
+    def made(self, made: list[Made], kept: int) -> None:
+        """New batches, and the first whose body is still in the book."""
+        self.sender.kept = kept
         for number, hash_ in made:
             self.sender.made(number, hash_)
-        kept = self.sender.acked - 64  # hashes of what the receiver may still be asked about
-        self.sender.hashes = {at: hash_ for at, hash_ in self.sender.hashes.items() if at >= kept}
+        known = min(kept, self.sender.acked) - 1  # what the receiver may still be asked about
+        self.sender.hashes = {at: hash_ for at, hash_ in self.sender.hashes.items() if at >= known}
         if made:
             self.stirred.set()
 
@@ -129,6 +132,7 @@
     async def _say(self, stream: SocketStream, what: wire.Say) -> None:
         try:
             with anyio.fail_after(5.0):
-                await stream.send(wire.encode(what))
+                async with self.talking:
+                    await stream.send(wire.encode(what))
         except (*LOST, TimeoutError):
             self.sender.lost(clock(), "connection lost")
--- a/thymeyoke/ledger/keeper.py
+++ b/thymeyoke/ledger/keeper.py
@@ -77,7 +77,7 @@
         self.order = 0
         self.stirred = anyio.Event()
         self.timed = anyio.Event()
-        self.too_large = self.over = False
+        self.too_large = self.over = self.running = False
         self.book: Book | None = None
         self.limiter = anyio.CapacityLimiter(1)
         self.sender: exporter.Exporter | None = None
@@ -97,7 +97,8 @@
         return self.told.full != "refuse" or not (self.too_large or len(self.queue) >= MOST // 2)
 
     def pending(self) -> bool:
-        return bool(self.late)
+        """Whether something is still on its way to the book: a drain waits for it, as long as it may."""
+        return bool(self.late or self.queue or self.group)
 
     def ended(self, op: Over) -> None:
         """An op's end, told with its answer where it gets one. The answer is this actor's to tell."""
@@ -113,6 +114,9 @@
         if waiting is not None:
             if kind not in (Kind.ACKED, Kind.REPEAT) or self.told.answers == "before":
                 pending.tell()  # what is given up is told at once, whatever the book does
+            elif not self.running:
+                log.counts["ledger_told_unbacked"] += 1
+                pending.tell()
             else:
                 self.order += 1
                 heappush(self.late, (waiting.until, self.order, pending))
@@ -133,16 +137,26 @@
                 Path(self.told.path), self.told.period, self.told.answers == "after"))  # fmt: skip
         except BadBook as error:
             log.counts["ledger_bad_book"] += 1
-            log.say(logging.ERROR, "no ledger", why=str(error))
-            raise
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._tell_late)
-            if self.told.receiver is not None:
-                self.sender = exporter.Exporter(self.told.receiver, self.who, self.rng, self.book, self._off)
-                tasks.start_soon(self.sender.run)
-            await self._keep()
-            tasks.cancel_scope.cancel()
-        self.close()
+            raise RuntimeError(f"no ledger: {error}") from None
+        self.running = True  # until now nobody would have told an answer that waits
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._tell_late)
+                if self.told.receiver is not None:
+                    self.sender = exporter.Exporter(
+                        self.told.receiver, self.who, self.rng, self.book, self._off
+                    )
+                    tasks.start_soon(self.sender.run)
+                await self._keep()
+                tasks.cancel_scope.cancel()
+        finally:
+            self.running, self.sender = False, None
+            self.queue.extendleft(reversed(self.group))
+            self.group = []
+            for _, _, pending in self.late:
+                pending.tell()
+            self.late.clear()
+            self.close()
 
     async def _off(self, what: Callable[[], Found]) -> Found:
         """In a thread; one at a time. A disk that hangs holds up the thread, not the server."""
@@ -188,22 +202,24 @@
         book = self.book
         assert book is not None
 
-        def work() -> tuple[list[Made], int, int]:
+        def work() -> tuple[list[Made], int, int, int]:
             made = book.close(clock())
             folded = book.fold(self.told.keep) if made or self.too_large else 0
-            return made, folded, book.size()
+            return made, folded, book.size(), book.meta("kept")
 
-        made, folded, size = await self._off(work)
+        made, folded, size, kept = await self._off(work)
         log.counts["ledger_batches"] += len(made)
         log.counts["ledger_folded"] += folded
         was, self.too_large = self.too_large, size > self.told.limit_mb << 20
         if self.too_large and not was:
             log.say(logging.ERROR, "ledger is full", size=size, full=self.told.full)
         shares = self.recent.shares(clock())
+        for old in [name for name in log.gauges if name.startswith("ledger_share_")]:
+            del log.gauges[old]
         for tenant, share in list(shares.items())[:8]:
             log.gauges[f"ledger_share_{tenant or 'none'}"] = round(share, 3)
         if self.sender is not None:
-            self.sender.made(made)
+            self.sender.made(made, kept)
 
     async def _tell_late(self) -> None:
         """No answer waits on the disk past its moment: then it goes without, and that is counted."""
--- a/thymeyoke/net/behind.py
+++ b/thymeyoke/net/behind.py
@@ -17,6 +17,7 @@
 from anyio.streams.memory import MemoryObjectSendStream
 
 from thymeyoke.net import log
+from thymeyoke.net.clock import clock
 from thymeyoke.net.mail import Draining, Event, Over, Reformed, Standing
 from thymeyoke.start import Names
 
@@ -26,7 +27,8 @@
 Orders = dict[str, Any]  # by section, what its module made of it
 
 
-AGAIN = 1.0  # seconds until a subsystem that failed starts again
+AGAIN, AGAIN_TOP = 0.5, 16.0  # seconds until a subsystem that failed starts again, doubling
+CALM = 60.0  # seconds that it ran without an error: the next one is a first one
 
 
 class Refused(Exception):
@@ -90,10 +92,13 @@
 
 async def _guarded(side: Behind) -> None:
     """A subsystem's error ends what it does, and it begins anew; the server goes on."""
+    pause, began = AGAIN, clock()
     while True:
         try:
             return await side.run()
         except Exception as error:
             log.counts[f"{side.name}_error"] += 1
             log.say(logging.ERROR, "subsystem starts again", error, name=side.name)
-            await anyio.sleep(AGAIN)
+            pause = AGAIN if clock() > began + CALM else min(AGAIN_TOP, 2 * pause)
+            await anyio.sleep(pause)
+            began = clock()
--- a/thymeyoke/net/desk.py
+++ b/thymeyoke/net/desk.py
@@ -239,7 +239,8 @@
             return asker.tell(Answer(number, Verdict.NACK, value=self.value))
         if self.ears and not all(ear.takes() for ear in self.ears):
             log.counts["refused_by_ledger"] += 1
-            return asker.tell(Answer(number, Verdict.NACK, value=self.value))
+            wait = self.given["callers"].max_wait
+            return asker.tell(Answer(number, Verdict.NACK, value=self.value, wait=wait))
         kind = self.kinds[order.type]
         marked = order.key if kind.repeat is Repeat.KEYED else order.subject if self.fresh else None
         key = (order.type, marked) if marked else None
@@ -370,8 +371,9 @@
             self.emptied = not self.front.connections
         left = self.leave_at < float("inf")
         gone = self.emptied and now >= self.stay_until
-        owed = self.unanswered or any(ear.pending() for ear in self.ears)
-        self.done = left and not owed and (gone or now >= self.leave_at - STOP_MARGIN)
+        waits = any(ear.pending() for ear in self.ears)
+        over = (gone and not waits) or now >= self.leave_at - STOP_MARGIN
+        self.done = left and not self.unanswered and over
 
     def _last_resort(self, now: float, slip: Slip) -> None:
         if slip.answered:
