--- a/thymeyoke/announce/announcer.py
+++ b/thymeyoke/announce/announcer.py
@@ -48,7 +48,7 @@
     """Stands behind the desk while the operators' file has `[announce]`."""
 
     name = "announce"
-    hears_ops = False
+    hears_ops, stays = False, True
 
     def __init__(self, told: Announce, seed: int, desk: MemoryObjectSendStream[Event]) -> None:
         self.told, self.rng, self.desk = told, Random(seed), desk
--- a/thymeyoke/ledger/keeper.py
+++ b/thymeyoke/ledger/keeper.py
@@ -61,7 +61,7 @@
     """Stands behind the desk while the operators' file has `[ledger]`."""
 
     name = "ledger"
-    hears_ops = True
+    hears_ops, stays = True, False
 
     def __init__(self, told: Ledger, around: Around) -> None:
         self.told, self.rng = told, Random(around.seed)
--- a/thymeyoke/net/behind.py
+++ b/thymeyoke/net/behind.py
@@ -48,6 +48,7 @@
     """A subsystem's actor. `tell` never waits; `run` may be begun again after an error."""
 
     name: str
+    stays: bool  # a drain lasts until the door shuts, though all is answered
     hears_ops: bool  # then it has `takes`, `pending` and `ended` as well (`Keeper`)
 
     def tell(self, what: Standing | Draining | Reformed) -> None: ...
--- a/thymeyoke/net/desk.py
+++ b/thymeyoke/net/desk.py
@@ -116,7 +116,7 @@
         self.leave_at = self.close_at = float("inf")
         self.behind: tuple[Behind, ...] = ()  # what the operators' file asks for
         self.ears: tuple[Ear, ...] = ()  # those of them that hear of ops
-        self.stay_until = 0.0  # with something behind, a drain lasts until the door shuts
+        self.stay_until = 0.0  # with announcements a drain lasts until the door shuts
         self.warm_at = 0.0
         self.busy_at = gauges.index("busy") if "busy" in (gauges := given["machine"].gauges) else None
         self.done = self.emptied = False
@@ -335,7 +335,7 @@
         # shut at once that was missing, while those who took over were still cold.
         self.close_at = now + min(self.duty.drain_grace, self.stop / 2)
         self.emptied = not self.front.connections
-        if self.behind:
+        if any(side.stays for side in self.behind):
             # Who follows an announcement comes until it is withdrawn, and a while after.
             self.stay_until = self.close_at
         for side in self.behind:
