Ledger: entries name their op, so that kills are checked op by op

Need: statements were compared with what clients counted by numbers alone; ops in doubt could not be listed, nor a dispute walked down to an op. Change: an entry holds the op's id as the wire gave it; the test with random kills compares ids.

--- a/tests/test_ledger_net.py
+++ b/tests/test_ledger_net.py
@@ -311,7 +311,7 @@
 
         code, text = say("show", "--tenant", "north")
         self.assertEqual(code, 0)
-        self.assertRegex(text, r"1.1 +16 +north +look +acked +1 +0.250000 +1 +1.500000 +300")
+        self.assertRegex(text, r"1.1 +(op-1)? +16 +north +look +acked +1 +0.250000 +1 +1.500000 +300")
         self.assertEqual(
             say("correct", "--entry", "1.1", "--amount", "run=-0.25,ops=-1", "--why", "ran for nobody")[0], 0
         )
@@ -349,8 +349,10 @@
         port, many = free_port(), [Instance(number, folder) for number in range(3)]
         command = [sys.executable, "-m", "thymeyoke", "ledger", "receive", "--listen", f"127.0.0.1:{port}",
                    "--path", str(folder / "vault")]  # fmt: skip
-        acked: Counter[int] = Counter()
-        doubtful: Counter[int] = Counter()  # out when the instance was killed
+        acked: dict[int, set[str]] = {number: set() for number in range(3)}
+        doubtful: dict[int, set[str]] = {
+            number: set() for number in range(3)
+        }  # out when the instance was killed
 
         def receive() -> subprocess.Popen[bytes]:
             return subprocess.Popen(command, stderr=subprocess.DEVNULL)
@@ -361,7 +363,7 @@
                 for one in many:
                     await one.around(tasks)
                     one.processor.span, one.processor.cores, one.port = 0.005, None, free_port()
-                    one.extra = f"[ledger]\npath = {folder / str(one.number)}\nperiod = 1\n[ledger.export]\nreceiver = 127.0.0.1:{port}"  # noqa: E501
+                    one.extra = f"[ledger]\npath = {folder / str(one.number)}\nperiod = 1\nkeep = 100000\n[ledger.export]\nreceiver = 127.0.0.1:{port}"  # noqa: E501
                     one.start([])
                     tasks.start_soon(self.client, one, tasks, acked, doubtful)
                 for _ in range(KILLS):
@@ -392,16 +394,26 @@
             receiver.wait()
             for one in many:
                 one.end()
-        self.assertGreater(sum(acked.values()), 20 * KILLS)
+        self.assertGreater(sum(map(len, acked.values())), 20 * KILLS)
+        more: list[str] = []
         for one in many:
-            # Under `after` what a client counted is there; more only by ops whose answers a kill took away.
-            more = found[one.number] - acked[one.number]
-            self.assertTrue(0 <= more <= doubtful[one.number], (more, doubtful))
+            ids = self.entered(folder, one)
+            self.assertEqual(len(ids), len(set(ids)), "an op entered twice")
+            self.assertEqual(found[one.number], len(ids))
+            # What a client counted is there, op by op; more only by ops that a kill left in doubt.
+            self.assertLessEqual(acked[one.number], set(ids))
+            self.assertLessEqual(set(ids) - acked[one.number], doubtful[one.number])
+            more += [f"n{one.number} {id_}" for id_ in sorted(set(ids) - acked[one.number])]
         if KILLS > 6:
-            print(
-                f"{KILLS} kills: acked {sum(acked.values())}, entered {sum(found.values())}, in doubt "
-                f"{doubtful}"
-            )
+            counts = [sum(map(len, which.values())) for which in (acked, doubtful)]
+            print(f"{KILLS} kills: acked {counts[0]}, entered {sum(found.values())}, in doubt {counts[1]}")
+            print(f"entered, and their answers lost: {', '.join(more)}")
+
+    def entered(self, folder: Path, one: Instance) -> list[str]:
+        store = sqlite3.connect(folder / str(one.number) / "ledger.db")
+        ids = [row[0] for row in store.execute("SELECT op FROM entries WHERE kind = 1")]
+        store.close()
+        return ids
 
     def statement(self, vault: Vault) -> Counter[int]:
         found: Counter[int] = Counter()
@@ -415,14 +427,13 @@
         found: Counter[int] = Counter()
         for one in many:
             store = sqlite3.connect(folder / str(one.number) / "ledger.db")
-            (found[one.number],) = store.execute(
-                "SELECT (SELECT COUNT(*) FROM entries WHERE kind = 1) + "
-                "COALESCE((SELECT SUM(ops) FROM folded WHERE kind = 1), 0)"
-            ).fetchone()
+            (found[one.number],) = store.execute("SELECT COUNT(*) FROM entries WHERE kind = 1").fetchone()
             store.close()
         return found
 
-    async def client(self, one: Instance, tasks: Any, acked: Counter[int], doubtful: Counter[int]) -> None:
+    async def client(
+        self, one: Instance, tasks: Any, acked: dict[int, set[str]], doubtful: dict[int, set[str]]
+    ) -> None:
         """Some ops at a time; those without an answer when the connection goes are in doubt."""
         one.stopping = False
         while not one.stopping:
@@ -432,17 +443,19 @@
                 await anyio.sleep(0.02)
                 continue
             while not router.closed and not one.stopping:
-                numbers = []
+                numbers: list[tuple[int, str]] = []
                 with suppress(*LOST, OSError):
                     for _ in range(4):
-                        numbers.append(await router.ask("look", b"x"))
+                        id_ = f"{next(Router.ids):016x}"
+                        doubtful[one.number].add(id_)  # until its answer is here
+                        numbers.append((await router.ask("look", b"x", ref=id_), id_))
                 with suppress(TimeoutError):
                     await router.until(
-                        lambda r=router, n=numbers: r.closed or all(at in r.answers for at in n), 3.0
+                        lambda r=router, n=numbers: r.closed or all(at in r.answers for at, _ in n), 3.0
                     )
-                for number in numbers:
-                    if number not in router.answers:
-                        doubtful[one.number] += 1
-                    elif router.answers[number][0] is None:
-                        acked[one.number] += 1
+                for number, id_ in numbers:
+                    if number in router.answers:
+                        doubtful[one.number].discard(id_)
+                        if router.answers[number][0] is None:
+                            acked[one.number].add(id_)
                 await anyio.sleep(0.01)
--- a/thymeyoke/ledger/book.py
+++ b/thymeyoke/ledger/book.py
@@ -36,7 +36,7 @@
 CREATE TABLE names (id INTEGER PRIMARY KEY, text TEXT UNIQUE);
 CREATE TABLE entries (number INTEGER PRIMARY KEY AUTOINCREMENT, start INTEGER, period INTEGER,
     tenant INTEGER, type INTEGER, kind INTEGER, ops INTEGER, run INTEGER, calls INTEGER,
-    importance INTEGER, octets INTEGER, corrects TEXT, who TEXT, why TEXT);
+    importance INTEGER, octets INTEGER, corrects TEXT, who TEXT, why TEXT, op TEXT);
 CREATE INDEX entries_by_period ON entries (period);
 CREATE TABLE groups (last INTEGER PRIMARY KEY, first INTEGER, hash BLOB);
 CREATE TABLE versions (period INTEGER, version INTEGER, through INTEGER, first_batch INTEGER,
@@ -45,7 +45,9 @@
 CREATE TABLE folded (tenant TEXT, type TEXT, kind INTEGER, ops INTEGER, run INTEGER, calls INTEGER,
     importance INTEGER, octets INTEGER, PRIMARY KEY (tenant, type, kind)) WITHOUT ROWID;
 """
-COLUMNS = "number, start, period, tenant, type, kind, ops, run, calls, importance, octets, corrects, who, why"
+COLUMNS = (
+    "number, start, period, tenant, type, kind, ops, run, calls, importance, octets, corrects, who, why, op"
+)
 Row = tuple[Any, ...]
 
 
@@ -180,7 +182,19 @@
                 tenant, type_ = self._name(use.tenant), self._name(use.type)
                 where = self.periods.of(use.at)
                 rows.append(
-                    (None, self.start, where, tenant, type_, int(use.kind), *use.amounts(), "", "", "")
+                    (
+                        None,
+                        self.start,
+                        where,
+                        tenant,
+                        type_,
+                        int(use.kind),
+                        *use.amounts(),
+                        "",
+                        "",
+                        "",
+                        use.op,
+                    )
                 )
             self._insert(rows)
             if self.periods.latest > latest:
@@ -192,7 +206,7 @@
     def _insert(self, rows: list[Row]) -> int:
         if not rows:
             return 0
-        marks = ", ".join("?" * 14)
+        marks = ", ".join("?" * 15)
         self.store.executemany(f"INSERT INTO entries ({COLUMNS}) VALUES ({marks})", rows)
         (last,) = self.store.execute("SELECT MAX(number) FROM entries").fetchone()
         first = last - len(rows) + 1
@@ -222,8 +236,8 @@
             yield self._entry(row)
 
     def _entry(self, row: Row) -> Entry:
-        line = Line(self._text(row[3]), self._text(row[4]), Kind(row[5]), *row[11:])
-        return Entry(row[1], row[0], row[2], line, Amounts(*row[6:11]))
+        line = Line(self._text(row[3]), self._text(row[4]), Kind(row[5]), *row[11:14])
+        return Entry(row[1], row[0], row[2], line, Amounts(*row[6:11]), row[14])
 
     def correct(self, id_: str, amounts: Amounts, who: str, why: str) -> Entry:
         """One more entry, in the period of the one it corrects. A closed period gets one more version for
@@ -241,7 +255,7 @@
             if not why.strip() or not who.strip():
                 raise BadBook("a correction needs who and why")
             names = self._name(old.line.tenant), self._name(old.line.type)
-            row = (None, old.start, old.period, *names, int(Kind.CORRECTION), *amounts, id_, who, why)
+            row = (None, old.start, old.period, *names, int(Kind.CORRECTION), *amounts, id_, who, why, old.op)
             number = self._insert([row])
             self.step("correction")
         found = self.store.execute(f"SELECT {COLUMNS} FROM entries WHERE number = ?", (number,)).fetchone()
--- a/thymeyoke/ledger/commands.py
+++ b/thymeyoke/ledger/commands.py
@@ -100,7 +100,7 @@
     """
     with _book(path) as book:
         rows = [
-            {"entry": e.id, "period": e.period, "tenant": e.line.tenant, "type": e.line.type,
+            {"entry": e.id, "op": e.op, "period": e.period, "tenant": e.line.tenant, "type": e.line.type,
              "kind": e.line.kind.name.lower(), **e.amounts._asdict(), "corrects": e.line.corrects,
              "who": e.line.who, "why": e.line.why}
             for e in book.entries(period, tenant)
--- a/thymeyoke/ledger/entries.py
+++ b/thymeyoke/ledger/entries.py
@@ -51,6 +51,7 @@
     calls: int
     importance: float
     octets: int
+    op: str = ""  # its id, as the wire gave it
 
     def amounts(self) -> Amounts:
         if self.kind in FREE:
@@ -77,6 +78,7 @@
     period: int
     line: Line
     amounts: Amounts
+    op: str = ""
 
     @property
     def id(self) -> str:
--- a/thymeyoke/ledger/keeper.py
+++ b/thymeyoke/ledger/keeper.py
@@ -104,7 +104,7 @@
         """An op's end, told with its answer where it gets one. The answer is this actor's to tell."""
         kind = Kind.REPEAT if op.repeat and op.verdict is Verdict.ACK else KINDS[op.verdict]
         tenant = self.tenants[op.tenant] if op.tenant < len(self.tenants) else ""
-        use = Use(op.at, tenant, self.types[op.type], kind, op.run, op.calls, op.importance, op.octets)
+        use = Use(op.at, tenant, self.types[op.type], kind, op.run, op.calls, op.importance, op.octets, op.id)
         self.recent.add(op.at, tenant, op.run)
         waiting = Waiting(op.asker, op.answer, op.until) if op.asker and op.answer else None
         pending = Pending(use, waiting)
--- a/thymeyoke/net/desk.py
+++ b/thymeyoke/net/desk.py
@@ -504,8 +504,8 @@
         repeat = slip.repeats is not None and not slip.begun
         importance, octets = self.kinds[order.type].importance, len(order.body) + octets
         over = Over(
-            now, order.tenant, order.type, slip.verdict, repeat, slip.run, slip.calls, importance, octets,
-            answer and slip.asker, answer, until)  # fmt: skip
+            now, order.id, order.tenant, order.type, slip.verdict, repeat, slip.run, slip.calls, importance,
+            octets, answer and slip.asker, answer, until)  # fmt: skip
         for ear in self.ears:
             ear.ended(over)
             over = over._replace(asker=None, answer=None)
--- a/thymeyoke/net/mail.py
+++ b/thymeyoke/net/mail.py
@@ -224,6 +224,7 @@
     """An op's end: answered and off the cores. With `asker` the answer is still to be told, by `until`."""
 
     at: float
+    id: str
     tenant: int
     type: int
     verdict: Verdict | None  # None: its caller went
