Types of the operators' file in orders.py: a section loads no other's subsystem

Need: [ledger] alone loaded part of announce/ for an address and its port; tables and message forms stood twice. Change: HostPort and its words in orders.py, one printer for benchmarks, one table of message forms in the ledger's codec.

--- a/benchmarks/announce.py
+++ b/benchmarks/announce.py
@@ -20,6 +20,7 @@
 import click
 import orjson
 
+from benchmarks import show
 from examples.standins import Router
 from standins.bgp import BgpPeer
 from standins.fleet import ADDRESS, Fleet, Instance, free_port
@@ -245,12 +246,7 @@
         anyio.run(to_the_wire, rows)
     if only in (None, "paths"):
         received(rows)
-    for row in rows:
-        if as_json:
-            click.echo(orjson.dumps(row).decode())
-        else:
-            ratio = "" if row["ratio"] is None else f"{row['ratio']:8.2f}"
-            click.echo(f"{row['what']:48} {row['value']:10.2f} {row['unit']:4} {ratio}")
+    show(rows, as_json)
 
 
 if __name__ == "__main__":
--- a/benchmarks/ledger.py
+++ b/benchmarks/ledger.py
@@ -21,6 +21,7 @@
 import click
 import orjson
 
+from benchmarks import show
 from benchmarks.announce import cpu, rss
 from examples.standins import Router
 from standins.fleet import Instance, free_port
@@ -249,12 +250,7 @@
         a_million(rows)
     if only in (None, "received"):
         anyio.run(received, rows)
-    for row in rows:
-        if as_json:
-            click.echo(orjson.dumps(row).decode())
-        else:
-            ratio = "" if row["ratio"] is None else f"{row['ratio']:8.2f}"
-            click.echo(f"{row['what']:44} {row['value']:12.2f} {row['unit']:3} {ratio}")
+    show(rows, as_json)
 
 
 if __name__ == "__main__":
--- a/tests/test_announce.py
+++ b/tests/test_announce.py
@@ -26,12 +26,13 @@
 from thymeyoke.__main__ import main
 from thymeyoke.announce import control, tcp, wire
 from thymeyoke.announce.announcer import Announcer
-from thymeyoke.announce.section import Announce, HostPort, Peer
+from thymeyoke.announce.section import Announce, Peer
 from thymeyoke.announce.session import State
 from thymeyoke.announce.shown import nlri
 from thymeyoke.announce.wire import Refresh
 from thymeyoke.net import desk, log, server
 from thymeyoke.net.behind import Refused
+from thymeyoke.orders import HostPort
 
 ONE, SIX = "198.51.100.7/32", "2001:db8::7/128"
 ME = "192.0.2.1"
--- a/tests/test_announce_decide.py
+++ b/tests/test_announce_decide.py
@@ -13,9 +13,10 @@
 from thymeyoke.announce import routes
 from thymeyoke.announce.attributes import GRACEFUL_SHUTDOWN, MARK, Heard, Path
 from thymeyoke.announce.decide import Bucket, Decider, Level, Look, Terms
-from thymeyoke.announce.section import Announce, HostPort, Peer
+from thymeyoke.announce.section import Announce, Peer
 from thymeyoke.announce.shown import PATHS, Shown, nlri, place
 from thymeyoke.announce.wire import IPV4, IPV6, Agreed, Refresh
+from thymeyoke.orders import HostPort
 
 ONE = ip_network("198.51.100.7/32")
 SIX = ip_network("2001:db8::7/128")
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -14,9 +14,10 @@
 
 from examples.toy import START
 from thymeyoke import orders
-from thymeyoke.announce.section import Announce, HostPort, Peer
+from thymeyoke.announce.section import Announce, Peer
 from thymeyoke.ledger.section import Export, Ledger
 from thymeyoke.net import log
+from thymeyoke.orders import HostPort
 
 GOOD = """
 [announce]
@@ -169,15 +170,18 @@
         )
 
     def test_what_is_off_is_not_imported(self) -> None:
-        code = (
-            "import sys, thymeyoke.__main__, thymeyoke.net.server, thymeyoke.start\n"
-            "print([name for name in sys.modules if name.startswith(('thymeyoke.announce', "
-            "'thymeyoke.ledger', 'sqlite3', "
-            "'thymeyoke.orders', "
-            "'msgspec', 'configparser'))])"
-        )
-        done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=20)
-        self.assertEqual(done.stdout, "[]\n", done.stderr)
+        """Without a file none of it; with one section none of the others."""
+        cases = {
+            "thymeyoke.__main__, thymeyoke.net.server": (
+                "thymeyoke.announce", "thymeyoke.ledger", "thymeyoke.orders", "sqlite3", "google", "msgspec",
+                "configparser"),
+            "thymeyoke.ledger.keeper": ("thymeyoke.announce",),
+            "thymeyoke.announce.announcer": ("thymeyoke.ledger", "sqlite3", "google"),
+        }  # fmt: skip
+        for loaded, off in cases.items():
+            code = f"import sys, {loaded}; print([name for name in sys.modules if name.startswith({off})])"
+            done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=20)
+            self.assertEqual(done.stdout, "[]\n", (loaded, done.stderr))
 
 
 class Lines(unittest.TestCase):
--- a/thymeyoke/announce/section.py
+++ b/thymeyoke/announce/section.py
@@ -8,36 +8,12 @@
 
 from msgspec import Meta, Struct
 
-from thymeyoke.orders import Raw
+from thymeyoke.orders import PORT, HostPort, Ip, Raw
 
-Ip = IPv4Address | IPv6Address
 Prefix = IPv4Network | IPv6Network
 LESS = ("graceful_shutdown", "med", "prepend")
 
 
-class HostPort:
-    """An IP address and a port; no name is looked up."""
-
-    def __init__(self, ip: Ip, port: int) -> None:
-        self.ip, self.port = ip, port
-
-    @classmethod
-    def parse(cls, text: str) -> HostPort:
-        host, _, port = text.rpartition(":")
-        if not 0 < int(port) < 65536:
-            raise ValueError(text)
-        return cls(ip_address(host.strip("[]")), int(port))
-
-    def __eq__(self, other: object) -> bool:
-        return isinstance(other, HostPort) and (self.ip, self.port) == (other.ip, other.port)
-
-    def __hash__(self) -> int:
-        return hash((self.ip, self.port))
-
-    def __str__(self) -> str:
-        return f"[{self.ip}]:{self.port}" if self.ip.version == 6 else f"{self.ip}:{self.port}"
-
-
 class AnyIp(ABC):  # noqa: B024 (only for isinstance)
     """For the schema: IPv4 or IPv6."""
 
@@ -55,7 +31,6 @@
 As = Annotated[int, Meta(ge=1, le=4294967294, description="an AS number from 1 to 4294967294")]
 Span = Annotated[float, Meta(gt=0, le=3600, description="seconds, more than 0 and at most 3600")]
 LIST = "prefixes, host bits zero, separated by commas, as 198.51.100.7/32, 2001:db8::7/128"
-PORT = "an IP address and a port, as 192.0.2.9:179 or [2001:db8::9]:179"
 
 
 class Peer(Struct, frozen=True, rename={"as_": "as"}):
--- a/thymeyoke/ledger/commands.py
+++ b/thymeyoke/ledger/commands.py
@@ -172,9 +172,9 @@
     """
     import anyio
 
-    from thymeyoke.announce.section import HostPort
     from thymeyoke.ledger import receiver
     from thymeyoke.net import log
+    from thymeyoke.orders import HostPort
 
     try:
         where = HostPort.parse(listen)
--- a/thymeyoke/ledger/exporter.py
+++ b/thymeyoke/ledger/exporter.py
@@ -11,12 +11,12 @@
 import anyio
 from anyio.abc import SocketStream
 
-from thymeyoke.announce.section import HostPort
 from thymeyoke.ledger import wire
 from thymeyoke.ledger.book import Book, Made
 from thymeyoke.ledger.export import At, Dial, Drop, Greet, Mark, Pin, Send, Sender
 from thymeyoke.net import log
 from thymeyoke.net.clock import clock
+from thymeyoke.orders import HostPort
 
 CHUNK = 1 << 14
 LOST = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
--- a/thymeyoke/ledger/section.py
+++ b/thymeyoke/ledger/section.py
@@ -6,8 +6,7 @@
 
 from msgspec import Meta, Struct
 
-from thymeyoke.announce.section import PORT, HostPort
-from thymeyoke.orders import Raw
+from thymeyoke.orders import PORT, HostPort, Raw
 
 ANSWERS, FULL = ("before", "after"), ("refuse", "lose")
 
--- a/thymeyoke/ledger/wire.py
+++ b/thymeyoke/ledger/wire.py
@@ -94,25 +94,15 @@
     return [tuple(ordered[at : at + ROWS]) for at in range(0, len(ordered), ROWS)] or [()]
 
 
+FORMS: dict[type, tuple[str, type]] = {
+    Hello: ("hello", pb.Hello), Welcome: ("welcome", pb.Welcome), Batch: ("batch", pb.Batch),
+    Taken: ("taken", pb.Taken), Refused: ("refused", pb.Refused),
+}  # fmt: skip
+
+
 def encode(what: Say) -> bytes:
-    told = pb.Say()
-    match what:
-        case Hello():
-            told.hello.SetInParent()
-            told.hello.MergeFrom(pb.Hello(**what._asdict()))
-        case Welcome():
-            told.welcome.SetInParent()
-            told.welcome.MergeFrom(pb.Welcome(**what._asdict()))
-        case Batch():
-            told.batch.SetInParent()
-            told.batch.MergeFrom(pb.Batch(**what._asdict()))
-        case Taken():
-            told.taken.SetInParent()
-            told.taken.MergeFrom(pb.Taken(**what._asdict()))
-        case Refused():
-            told.refused.SetInParent()
-            told.refused.MergeFrom(pb.Refused(**what._asdict()))
-    data = told.SerializeToString(deterministic=True)
+    name, form = FORMS[type(what)]
+    data = pb.Say(**{name: form(**what._asdict())}).SerializeToString(deterministic=True)
     assert len(data) <= MOST
     return len(data).to_bytes(4, "big") + data
 
--- a/thymeyoke/orders.py
+++ b/thymeyoke/orders.py
@@ -15,6 +15,7 @@
     ParsingError,
 )
 from importlib import import_module
+from ipaddress import IPv4Address, IPv6Address, ip_address
 from pathlib import Path
 from typing import Any, TypeVar, get_args, get_origin, get_type_hints
 
@@ -28,10 +29,37 @@
 Orders = dict[str, Any]  # by the section's name, what its module made of it
 
 
+Ip = IPv4Address | IPv6Address
+PORT = "an IP address and a port, as 192.0.2.9:179 or [2001:db8::9]:179"
+
+
 class BadOrders(Exception):
     """The operators' file can't be taken; the text is for them."""
 
 
+class HostPort:
+    """An IP address and a port; no name is looked up."""
+
+    def __init__(self, ip: Ip, port: int) -> None:
+        self.ip, self.port = ip, port
+
+    @classmethod
+    def parse(cls, text: str) -> HostPort:
+        host, _, port = text.rpartition(":")
+        if not 0 < int(port) < 65536:
+            raise ValueError(text)
+        return cls(ip_address(host.strip("[]")), int(port))
+
+    def __eq__(self, other: object) -> bool:
+        return isinstance(other, HostPort) and (self.ip, self.port) == (other.ip, other.port)
+
+    def __hash__(self) -> int:
+        return hash((self.ip, self.port))
+
+    def __str__(self) -> str:
+        return f"[{self.ip}]:{self.port}" if self.ip.version == 6 else f"{self.ip}:{self.port}"
+
+
 class Raw:
     """The sections of a file as text, and who they belong to in an error."""
 
