Ledger: ops acked while the book opens wait for their entry; read over once more

Need: read over, the first ops after a start could be acked without an entry on the disk: the keeper told them at once until its book was open (the case of statements failed on it twice in a row, 1 and 2 answers). One query for periods with late corrections, one look kept by the crowd, the penalty's half life named once.

--- a/thymeyoke/announce/decide.py
+++ b/thymeyoke/announce/decide.py
@@ -136,10 +136,14 @@
         self.addresses = {prefix: Address(now) for prefix in addresses}
         self.budget = Bucket(terms.changes, MINUTE)
         self.away, self.away_at = 0.0, now  # times away for a crowd, halved by quiet
-        self.last: Look | None = None
         self.unlinked_at = self.withdraw_at = self.door_at = float("inf")
         self.again_at = float("inf")  # when a change that the budget held back may be made
 
+    @property
+    def last(self) -> Look | None:
+        """The last look, as the crowd keeps it."""
+        return self.crowd.last
+
     def change(self, now: float, terms: Terms, addresses: Iterable[Prefix]) -> None:
         """New terms; addresses that stay keep their state. Those that went are no longer in `addresses`."""
         self.terms = self.crowd.terms = terms
@@ -153,7 +157,6 @@
         elif self.unlinked_at == float("inf"):
             self.unlinked_at = now
         self.crowd.look(now, look)
-        self.last = look
 
     def leave(self, now: float, door_at: float) -> None:
         """The notice of a drain: ops are taken until `door_at`. A second notice changes nothing."""
--- a/thymeyoke/announce/speaker.py
+++ b/thymeyoke/announce/speaker.py
@@ -18,6 +18,7 @@
 from thymeyoke.announce.decide import Bucket, Level
 from thymeyoke.announce.section import Announce, Peer, Prefix
 from thymeyoke.announce.session import (
+    CALM,
     Action,
     Dial,
     Down,
@@ -262,7 +263,7 @@
         self, told: Announce, peer: Peer, shown: Shown, rng: Random, changed: Callable[[], None]
     ) -> None:
         self.told, self.peer, self.shown, self.changed = told, peer, shown, changed
-        self.rng, self.penalty = rng, Penalty(20 * peer.hold)
+        self.rng, self.penalty = rng, Penalty(CALM * peer.hold)
         self.wanted: Mapping[Prefix, Level] = {}
         self.within: float | None = None  # how long what is sent may stay untaken, where that is short
         self.main = Talk(self, self._session(), not peer.passive)
--- a/thymeyoke/ledger/book.py
+++ b/thymeyoke/ledger/book.py
@@ -280,11 +280,7 @@
     def close(self, now: float) -> list[Made]:
         """Corrections to closed periods first, then the periods that are due; the batches that this made."""
         made: list[Made] = []
-        query = (
-            "SELECT DISTINCT e.period FROM entries e JOIN (SELECT period, MAX(through) AS t FROM versions "
-            "GROUP BY period) v ON v.period = e.period WHERE e.number > v.t ORDER BY e.period"
-        )
-        for (period,) in self.store.execute(query).fetchall():
+        for period in self._corrected():
             made += self._version(period)
         query = "SELECT DISTINCT period FROM entries WHERE period > ?"
         held = [row[0] for row in self.store.execute(query, (self.periods.closed,))]
@@ -292,6 +288,14 @@
             made += self._version(period)
         return made
 
+    def _corrected(self) -> list[int]:
+        """Closed periods with entries behind their last version, oldest first."""
+        query = (
+            "SELECT DISTINCT e.period FROM entries e JOIN (SELECT period, MAX(through) AS t FROM versions "
+            "GROUP BY period) v ON v.period = e.period WHERE e.number > v.t ORDER BY e.period"
+        )
+        return [row[0] for row in self.store.execute(query)]
+
     def _version(self, period: int) -> list[Made]:
         """A period's sums, from the entry behind its last version on, as batches of one transaction."""
         made: list[Made] = []
@@ -357,10 +361,7 @@
         query = "SELECT period, MAX(last_batch) FROM versions GROUP BY period ORDER BY period"
         periods = self.store.execute(query).fetchall()
         old = [period for period, last in periods[:-keep] if last <= acked] if len(periods) > keep else []
-        pending = {row[0] for row in self.store.execute(
-            "SELECT DISTINCT e.period FROM entries e JOIN (SELECT period, MAX(through) AS t FROM versions "
-            "GROUP BY "
-            "period) v ON v.period = e.period WHERE e.number > v.t")}  # fmt: skip
+        pending = set(self._corrected())
         old = [period for period in old if period not in pending]
         if not old:
             return 0
--- a/thymeyoke/ledger/keeper.py
+++ b/thymeyoke/ledger/keeper.py
@@ -132,16 +132,11 @@
     # The book.
 
     async def run(self) -> None:
-        try:
-            self.book = await self._off(lambda: Book(
-                Path(self.told.path), self.told.period, self.told.answers == "after"))  # fmt: skip
-        except BadBook as error:
-            log.counts["ledger_bad_book"] += 1
-            raise RuntimeError(f"no ledger: {error}") from None
-        self.running = True  # until now nobody would have told an answer that waits
+        self.running = True  # without it nobody would tell an answer that waits
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._tell_late)
+                self.book = await self._opened()
                 if self.told.receiver is not None:
                     self.sender = exporter.Exporter(
                         self.told.receiver, self.who, self.rng, self.book, self._off
@@ -158,6 +153,14 @@
             self.late.clear()
             self.close()
 
+    async def _opened(self) -> Book:
+        path, durable = Path(self.told.path), self.told.answers == "after"
+        try:
+            return await self._off(lambda: Book(path, self.told.period, durable))
+        except BadBook as error:
+            log.counts["ledger_bad_book"] += 1
+            raise RuntimeError(f"no ledger: {error}") from None
+
     async def _off(self, what: Callable[[], Found]) -> Found:
         """In a thread; one at a time. A disk that hangs holds up the thread, not the server."""
         return await to_thread.run_sync(what, abandon_on_cancel=True, limiter=self.limiter)
