A drain lets in who waits at the door, and its grace runs from the notice itself

A probe on loopback shows such a connection reset in each of three orders of events.

Ruled out: reports after the notice, a second notice, ops read and not answered, connections closed for what was said on them (counters).

Change: the front accepts all that waits in one go and gives it its place in the table before any wait; at the door's end the queue is let in, then the listener closes, then all are told. A handler stamps the notice; grace, door and stop count from it, less the answer slack told. A module made later is told. Signals are held back until they can be heard. The queue is as long as the table.

--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,198 @@
+"""Cases against a server that is told to leave, or that has only begun: what it says, runs and answers."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from pathlib import Path
+from unittest import mock
+
+import anyio
+import orjson
+
+from examples.standins import Processor, Router
+from tests.server import place, told
+from thymeyoke import held
+from thymeyoke.net import desk, front, mail, server
+from thymeyoke.net.log import counts
+
+GRACE, SLACK = 0.5, 0.1  # of the toy's settings
+
+
+def said_since(moment: float) -> str:
+    return f"{moment * 1000:.0f}"
+
+
+class Grace(unittest.IsolatedAsyncioTestCase):
+    async def test_what_came_behind_the_grace_is_not_run_however_late_the_notice_was_heard(self) -> None:
+        """Once the grace was counted from when the desk heard of the notice: a loop that was busy for long
+        ran what had reached the machine behind its end. By the time from the notice until an op comes."""
+        cases = [(0.2, True), (GRACE - SLACK / 2, False), (GRACE + 0.1, False)]
+        for after, runs in cases:
+            with self.subTest(after=after):
+                async with place(Processor(calls=0)) as here:
+                    router = await here.router()
+                    await router.answer(await router.check())
+                    began = time.time()
+                    os.kill(os.getpid(), signal.SIGTERM)
+                    time.sleep(0.3)  # the loop is busy, as on a server with little of a core
+                    await anyio.sleep(max(0.0, began + after - time.time()))
+                    answer = await router.answer(await router.ask("look", since=said_since(began + after)))
+                    self.assertEqual((answer[0] is None, len(here.processor.begun)), (runs, int(runs)))
+
+    async def test_a_notice_before_the_processor_is_up(self) -> None:
+        """Once the module was made after it and never told: it took and ran all that came."""
+        slow = Processor(calls=0)
+        slow.up = anyio.Event()
+        async with place(slow) as here:
+            router = await here.router()
+            self.assertTrue((await router.answer(await router.check()))[1][0])
+            os.kill(os.getpid(), signal.SIGTERM)
+            await here.roster.until(lambda: here.roster.reports[-1][1] == "no")
+            self.assertFalse((await router.answer(await router.check()))[1][0])
+            slow.up.set()
+            await slow.until(lambda: any(said["event"] == "usage" for said in slow.heard))
+            await router.until(lambda: router.notices)
+            late = await router.ask("look", since=said_since(time.time() + GRACE))
+            self.assertEqual((await router.answer(late))[0][0], "Shed")
+            self.assertEqual(slow.begun, [])
+
+    async def test_a_notice_that_comes_twice_is_one(self) -> None:
+        async with place(Processor(calls=0, held=True)) as here:
+            router = await here.router()
+            number = await router.ask("look")
+            await here.processor.until(lambda: here.processor.begun)
+            for _ in range(3):
+                os.kill(os.getpid(), signal.SIGTERM)
+                os.kill(os.getpid(), signal.SIGHUP)
+                await anyio.sleep(0.05)
+            await router.until(lambda: router.notices)
+            here.processor.end(here.processor.begun[0])
+            self.assertIsNone((await router.answer(number))[0])
+            await router.stream.aclose()
+            with anyio.fail_after(1):
+                await here.ended.wait()
+            self.assertEqual(router.notices, ["leaving"])
+
+
+class Door(unittest.IsolatedAsyncioTestCase):
+    async def test_who_waits_in_the_queue_when_the_door_shuts_is_let_in(self) -> None:
+        """Once the listener was closed over them: their connections were reset, with the ops on them."""
+        desks: list[desk.Desk] = []
+
+        def keep(*given: object) -> desk.Desk:
+            desks.append(desk.Desk(*given))
+            return desks[-1]
+
+        with mock.patch.object(server, "Desk", keep):
+            async with place(Processor(calls=0)) as here:
+                await (known := await here.router()).answer(await known.check())
+                sockets = [socket.create_connection(here.where) for _ in range(5)]
+                for at in sockets:  # not a turn of the loop until the door is shut
+                    at.sendall(known.frame("look")[1])
+                desks[0].front.tell(mail.Leaving())
+                with self.assertRaises(OSError):
+                    socket.create_connection(here.where)
+                for at in sockets:
+                    at.setblocking(False)
+                    router = Router(await anyio.abc.SocketStream.from_socket(at))
+                    here.tasks.start_soon(router._read)
+                    await router.until(lambda router=router: router.answers and router.notices)
+                    self.assertEqual([error for error, _ in router.answers.values()], [None])
+
+    async def test_a_connection_is_not_closed_over_an_op_that_stands_unread(self) -> None:
+        """By what closes an idle one: unused for long, a full table, no first message."""
+        ours, theirs = socket.socketpair()
+        self.addCleanup(ours.close)
+        self.addCleanup(theirs.close)
+        inbox, events = anyio.create_memory_object_stream[mail.Event](8)
+        self.addCleanup(inbox.close)
+        self.addCleanup(events.close)
+        hall = front.Front(mock.Mock(), front.SPARE_DESCRIPTORS + 1, 30.0, inbox)
+        connection = front.Connection(ours, mock.Mock(), inbox)
+        self.addCleanup(connection.outbox.close)
+        self.addCleanup(connection.unsent.close)
+        hall.connections.add(connection)
+        theirs.send(b"\x94")
+        self.assertFalse(hall._make_room())
+        for heard, leaving_since in [(True, 0.0), (False, float("inf"))]:
+            connection.heard, connection.leaving_since = heard, leaving_since
+            connection.half_since = float("inf") if heard else 0.0
+            with anyio.move_on_after(2 * front.LOOK):
+                await hall._trim()
+            self.assertFalse(connection.scope.cancel_called)
+        ours.recv(1)
+        with anyio.move_on_after(2 * front.LOOK):
+            await hall._trim()
+        self.assertTrue(connection.scope.cancel_called)
+
+    async def test_hundreds_that_come_at_once_find_room(self) -> None:
+        """Seven in ten routers of a large fleet restart together: all wait in the queue of one listener."""
+        many = 400
+        async with place(Processor(calls=0), limits__sockets=1024) as here:
+            await (known := await here.router()).answer(await known.check())
+            failed = counts["accept_failed"]
+            sockets = [socket.create_connection(here.where, timeout=5) for _ in range(many)]
+            for at in sockets:
+                at.close()
+            self.assertIsNone((await known.answer(await known.ask("look")))[0])
+            self.assertEqual(counts["accept_failed"], failed)
+
+
+class EarlySignals(unittest.TestCase):
+    """A real process whose start file is a pipe: it has begun, and can't go on before it is written."""
+
+    def server(self, early: list[int], fate: int | None) -> list[str]:
+        with tempfile.TemporaryDirectory() as folder:
+            pipe, plain = Path(folder) / "start.json", Path(folder) / "again.json"
+            os.mkfifo(pipe)
+            plain.write_bytes(orjson.dumps(told(listen="127.0.0.1:0", stop_ms=600)))
+            with subprocess.Popen(
+                [sys.executable, "-O", "-m", "thymeyoke", "serve", "--config", str(pipe)],
+                stderr=subprocess.PIPE, text=True) as process:  # fmt: skip
+                try:
+                    with pipe.open("wb") as file:  # opens once the process reads
+                        for number in early:
+                            process.send_signal(number)
+                        file.write(plain.read_bytes())
+                        plain.replace(pipe)
+                    if fate is None:
+                        lines = []
+                        while process.stderr and not any("listening" in line for line in lines):
+                            lines.append(process.stderr.readline())
+                        return lines
+                    lines = process.communicate(timeout=10)[1].splitlines()
+                    self.assertEqual(process.returncode, fate, lines)
+                    return lines
+                finally:
+                    process.kill()
+
+    def test_a_signal_before_its_handler_is_heard_later(self) -> None:
+        lines = self.server([signal.SIGTERM, signal.SIGHUP], 0)
+        self.assertTrue(any("what=leaving" in line for line in lines), lines)
+        self.assertTrue(any("what=left" in line for line in lines), lines)
+        self.assertTrue(self.server([signal.SIGHUP], None))
+
+    def test_a_notice_that_waited_counts_from_the_first_moment_that_it_can_have_come(self) -> None:
+        with mock.patch.object(held, "_since", None):
+            held.hold()
+            first = held._since
+            os.kill(os.getpid(), signal.SIGHUP)
+            self.assertEqual(signal.sigpending(), {signal.SIGHUP})
+            ignored = signal.signal(signal.SIGHUP, signal.SIG_IGN)
+            self.assertIsNone(held.let_go())
+            signal.signal(signal.SIGHUP, ignored)
+            held.hold()
+            first = held._since
+            notices: list[int] = []
+            before = signal.signal(signal.SIGTERM, lambda number, _: notices.append(number))
+            os.kill(os.getpid(), signal.SIGTERM)
+            self.assertEqual(held.let_go(), first)
+            signal.signal(signal.SIGTERM, before)
+            self.assertEqual(notices, [signal.SIGTERM])
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -720,8 +720,9 @@
             async def aclose(self) -> None:
                 pass
 
-        connection = front.Connection(Stalled(), NAMES, inbox)
-        with anyio.fail_after(2):
+        connection = front.Connection(mock.Mock(), NAMES, inbox)
+        stalled = mock.AsyncMock(return_value=Stalled())
+        with anyio.fail_after(2), mock.patch.object(front.SocketStream, "from_socket", stalled):
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(connection.run)
                 for _ in range(2 * front.OUTBOX + 2):
--- a/thymeyoke/__main__.py
+++ b/thymeyoke/__main__.py
@@ -2,6 +2,13 @@
 
 from __future__ import annotations
 
+import sys
+
+from thymeyoke import held
+
+if __name__ == "__main__" and sys.argv[1:2] == ["serve"]:
+    held.hold()  # before all that takes time
+
 from importlib import import_module
 from pathlib import Path
 from typing import Any
--- a/thymeyoke/net/desk.py
+++ b/thymeyoke/net/desk.py
@@ -95,7 +95,10 @@
     def __init__(self, stop: float, given: dict[str, Any]) -> None:
         self.stop, self.given = stop, given
         self.kinds: tuple[facts.OpType, ...] = given["op_types"]
-        self.duty: facts.Duty = given["duty"]
+        duty: facts.Duty = given["duty"]
+        # A notice is heard late, as all else is: by up to the slack that the settings leave an answer. What
+        # reached the machine behind the true end of the grace must not be run: ours ends sooner by as much.
+        self.duty = duty._replace(drain_grace=max(0.0, duty.drain_grace - duty.answer_slack))
         self.tick: float = given["machine"].tick
         self.fresh: float = given["callers"].fresh
         self.inbox, self.events = anyio.create_memory_object_stream[Event](INBOX)
@@ -113,7 +116,7 @@
         self.late: list[Command] = []  # to the processor, after this batch's answers
         self.value: float | None = None
         self.fit = True
-        self.leave_at = self.close_at = float("inf")
+        self.notice_at = self.leave_at = self.close_at = float("inf")
         self.behind: tuple[Behind, ...] = ()  # what the operators' file asks for
         self.ears: tuple[Ear, ...] = ()  # those of them that hear of ops
         self.stay_until = 0.0  # with announcements a drain lasts until the door shuts
@@ -161,7 +164,7 @@
         """Wait for an event or the next moment, then take all that is there."""
         moments = [self.next_counts]
         moments += [heap[0][0] for heap in (self.timers, self.dues) if heap]
-        if self.leave_at < float("inf"):
+        if self.left:
             margin = LAST_MARGIN if self.unanswered else STOP_MARGIN
             moments += [self.leave_at - margin, self.close_at]
             if self.ears:  # answers that wait for a disk are not the desk's: it looks again
@@ -212,8 +215,8 @@
                     self.link, self.down_at = 0, now
             case Refused(id, command):
                 self._refused(now, id, command)
-            case Leave():
-                self._leave(now)
+            case Leave(at):
+                self._leave(now, at)
             case Probe(asker):
                 asker.tell(self._standing())
             case Emptied():
@@ -223,8 +226,10 @@
         if self.yoke is None:
             survival = self.given["survival"]._replace(cold=cold)
             self.warm_at = now - age + survival.cold_span if cold else 0.0
-            self.yoke = Choice(now=now - age, **{**self.given, "survival": survival})
+            self.yoke = Choice(now=now - age, **{**self.given, "survival": survival, "duty": self.duty})
             log.say(logging.INFO, "up", cold=cold, age=age)
+            if self.left:  # the notice came first: without it, all would be run whenever it reached us
+                self.yoke.leave(self.notice_at, self.stop)
 
     def _standing(self) -> Standing:
         busy = self.gauges[self.busy_at] if self.gauges and self.busy_at is not None else None
@@ -328,12 +333,20 @@
             self._ended(now, Ended(id, Outcome.MOOT, b""))
             self._forget(now, id)
 
-    def _leave(self, now: float) -> None:
-        self.leave_at = now + self.stop
-        log.say(logging.INFO, "leaving", left=self.stop, in_hand=len(self.slips))
+    @property
+    def left(self) -> bool:
+        """Whether the notice to leave came."""
+        return self.notice_at < float("inf")
+
+    def _leave(self, now: float, at: float) -> None:
+        """`at`: when the notice came. All spans count from there, however late it is heard."""
+        if self.left:
+            return
+        self.notice_at, self.leave_at = at, at + self.stop
+        log.say(logging.INFO, "leaving", left=self.stop, in_hand=len(self.slips), heard=now - at)
         # Routers hear of it seconds later, and the module takes what comes within the grace: with the door
         # shut at once that was missing, while those who took over were still cold.
-        self.close_at = now + min(self.duty.drain_grace, self.stop / 2)
+        self.close_at = at + min(self.duty.drain_grace, self.stop / 2)
         self.emptied = not self.front.connections
         if any(side.stays for side in self.behind):
             # Who follows an announcement comes until it is withdrawn, and a while after.
@@ -341,7 +354,9 @@
         for side in self.behind:
             side.tell(Draining(self.close_at))
         if self.yoke:
-            self.yoke.leave(now, self.stop)
+            self.yoke.leave(at, self.stop)
+        else:
+            self._carry_out(now, act.Health(True, False))
 
     # Moments that pass.
 
@@ -369,11 +384,10 @@
             self.close_at = float("inf")
             self.front.tell(Leaving())
             self.emptied = not self.front.connections
-        left = self.leave_at < float("inf")
         gone = self.emptied and now >= self.stay_until
         waits = any(ear.pending() for ear in self.ears)
         over = (gone and not waits) or now >= self.leave_at - STOP_MARGIN
-        self.done = left and not self.unanswered and over
+        self.done = self.left and not self.unanswered and over
 
     def _last_resort(self, now: float, slip: Slip) -> None:
         if slip.answered:
--- a/thymeyoke/net/front.py
+++ b/thymeyoke/net/front.py
@@ -4,9 +4,12 @@
 
 import logging
 import math
+import select
+import socket
+from contextlib import suppress
 
 import anyio
-from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskGroup
+from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 from anyio.streams.memory import MemoryObjectSendStream
 
 from thymeyoke.net import log, rpc
@@ -31,7 +34,7 @@
 OUTBOX = 4 * OPEN_OPS  # answers that a router may leave unread
 SPARE_DESCRIPTORS = 56  # kept for the links, the list, calls and the interpreter
 ACCEPT_PAUSE = 0.05  # after a failed accept
-BACKLOG = 256
+ACCEPTS = 64  # in one turn of the event loop, while the door is open
 GRACE = 1.0  # a router that was told `leaving` closes by itself; past this it is done for it
 HALF_SAID = 1.5  # a router finishes what it says, and says something once connected, sooner than this
 LOOK = 0.25  # between looks at what is unused or unfinished
@@ -41,8 +44,8 @@
 class Connection:
     """One router connection. `open` is emptied by answers, cancels and the connection's end."""
 
-    def __init__(self, stream: SocketStream, names: Names, desk: MemoryObjectSendStream[Event]) -> None:
-        self.stream, self.desk, self.reader = stream, desk, rpc.Reader(names)
+    def __init__(self, accepted: socket.socket, names: Names, desk: MemoryObjectSendStream[Event]) -> None:
+        self.accepted, self.desk, self.reader = accepted, desk, rpc.Reader(names)
         self.open: dict[int, str] = {}
         self.outbox, self.unsent = anyio.create_memory_object_stream[Telling | None](OUTBOX)
         self.scope = anyio.CancelScope()
@@ -64,11 +67,13 @@
             log.counts["answer_unsent"] += 1
 
     async def run(self) -> None:
+        stream = None
         try:
             with self.scope:
+                stream = await SocketStream.from_socket(self.accepted)
                 async with anyio.create_task_group() as tasks:
-                    tasks.start_soon(self._write)
-                    await self._read()
+                    tasks.start_soon(self._write, stream)
+                    await self._read(stream)
         except Exception as error:
             log.counts["connection_error"] += 1
             log.say(logging.ERROR, "connection ends", error)
@@ -79,12 +84,23 @@
                 lost, self.open = list(self.open.values()), {}
                 for id in lost:
                     await post(self.desk, Gone(id, self))
-                await anyio.aclose_forcefully(self.stream)
+                if stream is not None:
+                    await anyio.aclose_forcefully(stream)
+                self.accepted.close()
 
-    async def _read(self) -> None:
+    def quiet(self) -> bool:
+        """Whether nothing stands unread on it. An op that was written before the close is lost with it, and a
+        server that is behind with its reading has not heard of it yet."""
+        if self.accepted.fileno() < 0:
+            return True
+        look = select.poll()
+        look.register(self.accepted, select.POLLIN)
+        return not look.poll(0)
+
+    async def _read(self, stream: SocketStream) -> None:
         try:
             while True:
-                data = await self.stream.receive(rpc.CHUNK)
+                data = await stream.receive(rpc.CHUNK)
                 self.used = clock()
                 for message in self.reader.feed(data):
                     await self._take(message)
@@ -125,12 +141,12 @@
                 if self.unclear > UNCLEAR_LIMIT:  # the same again as soon as it is turned away, for ever
                     raise rpc.BadFrame("too many ops that are not understood")
 
-    async def _write(self) -> None:
+    async def _write(self, stream: SocketStream) -> None:
         try:
             async for first in self.unsent:
                 batch = [first, *waiting(self.unsent)]
                 if data := b"".join(rpc.encode(what) for what in batch if what is not None):
-                    await self.stream.send(data)
+                    await stream.send(data)
                     self.used = clock()
                 if self.ended and not self.open and not self.unsent.statistics().current_buffer_used:
                     self.scope.cancel()
@@ -147,53 +163,83 @@
         self.names, self.most, self.desk = names, max(1, descriptors - SPARE_DESCRIPTORS), desk
         self.connections: set[Connection] = set()
         self.idle, self.leaving = idle, False
-        self.accepting = anyio.CancelScope()
-        self.listener: SocketListener | None = None
+        self.door: socket.socket | None = None
+        self.tasks: TaskGroup | None = None  # while it runs
 
     def tell(self, what: Trim | Leaving) -> None:
         if isinstance(what, Trim):
             self.idle = what.span
-            return
-        self.leaving = True
-        self.accepting.cancel()
-        for connection in self.connections:
-            connection.tell(what)
+        elif not self.leaving:
+            self.leaving = True
+            self._shut()
+            for connection in self.connections:
+                connection.tell(what)
 
     async def listen(self, where: Address) -> Address:
-        many = await anyio.create_tcp_listener(local_host=where.host, local_port=where.port, backlog=BACKLOG)
-        self.listener = many.listeners[0]
-        host, port = self.listener.extra(SocketAttribute.local_address)[:2]
+        """Callers that come back all at once wait in the queue, as many as there is room for later."""
+        listener = await anyio.create_tcp_listener(
+            local_host=where.host, local_port=where.port, backlog=self.most)  # fmt: skip
+        self.door = listener.listeners[0].extra(SocketAttribute.raw_socket)
+        host, port = listener.listeners[0].extra(SocketAttribute.local_address)[:2]
         return Address(host, port)
 
     async def run(self) -> None:
-        assert self.listener is not None
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._trim)
-            async with self.listener:
-                with self.accepting:
-                    await self._accept(tasks, self.listener)
-
-    async def _accept(self, tasks: TaskGroup, listener: SocketListener) -> None:
-        while True:
+        async with anyio.create_task_group() as self.tasks:
+            self.tasks.start_soon(self._trim)
+            with suppress(anyio.ClosedResourceError):  # the door is shut
+                await self._accept()
+
+    def close(self) -> None:
+        """For a server that ends without a drain."""
+        if self.door is not None:
+            self.door.close()
+
+    async def _accept(self) -> None:
+        while self.door is not None:
+            await anyio.wait_readable(self.door)
+            if not self._let_in(ACCEPTS):
+                await anyio.sleep(ACCEPT_PAUSE)
+
+    def _let_in(self, most: int) -> bool:
+        """Accept what waits, without a turn of the loop between a connection and its place in `connections`:
+        one that is cancelled there is reset, with the op that was written on it."""
+        for _ in range(most):
+            if self.door is None or self.tasks is None:
+                return True
             try:
-                stream = await listener.accept()
-            except OSError as error:  # no descriptors, or a peer that left while it waited
+                accepted, _ = self.door.accept()
+            except (BlockingIOError, ConnectionAbortedError):
+                return True
+            except OSError as error:  # no descriptors
                 log.counts["accept_failed"] += 1
                 log.say(logging.WARNING, "accept failed", error)
-                await anyio.sleep(ACCEPT_PAUSE)
-                continue
+                return False
             if len(self.connections) >= self.most and not self._make_room():
-                await anyio.aclose_forcefully(stream)  # nothing ran for it: it may go elsewhere
+                accepted.close()  # nothing ran for it: it may go elsewhere
                 continue
-            connection = Connection(stream, self.names, self.desk)
+            accepted.setblocking(False)
+            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            connection = Connection(accepted, self.names, self.desk)
             self.connections.add(connection)
-            tasks.start_soon(self._serve, connection)
+            self.tasks.start_soon(self._serve, connection)
+        return True
+
+    def _shut(self) -> None:
+        """Close the listener, with nobody in its queue: what was written there is an op of ours already."""
+        if self.door is not None:
+            before = len(self.connections)
+            self._let_in(self.most)
+            door, self.door = self.door, None
+            anyio.notify_closing(door)
+            door.close()
+            let_in = len(self.connections) - before
+            log.say(logging.INFO, "door shut", connections=len(self.connections), let_in=let_in)
 
     def _make_room(self) -> bool:
         """A full table once shut routers out for peers that hold a connection and say nothing: who never said
         a whole message goes first, then who said the last one longest ago. None with an op open."""
         log.counts["no_descriptor"] += 1
-        idle = [connection for connection in self.connections if not connection.open]
+        idle = [connection for connection in self.connections if not connection.open and connection.quiet()]
         victim = min(idle, key=lambda connection: (connection.heard, connection.used), default=None)
         if victim is None:
             return False
@@ -203,8 +249,6 @@
 
     async def _serve(self, connection: Connection) -> None:
         log.counts["connections"] += 1
-        if self.leaving:
-            connection.tell(Leaving())
         try:
             await connection.run()
         finally:
@@ -220,13 +264,14 @@
             await anyio.sleep(min(LOOK, max(ACCEPT_PAUSE, self.idle / 10)))
             now = clock()
             for connection in list(self.connections):
-                if now > connection.half_since + HALF_SAID:
+                if now > connection.half_since + HALF_SAID and (connection.heard or connection.quiet()):
                     log.counts["half_said"] += 1
                     connection.scope.cancel()
                 elif connection.open:
                     continue
                 elif now > connection.leaving_since + GRACE:
-                    connection.scope.cancel()
+                    if connection.quiet():
+                        connection.scope.cancel()
                 elif now > connection.used + self.idle and connection.leaving_since == math.inf:
                     log.counts["trimmed"] += 1
                     connection.tell(Leaving())
--- a/thymeyoke/net/mail.py
+++ b/thymeyoke/net/mail.py
@@ -98,7 +98,9 @@
 
 
 class Leave(NamedTuple):
-    """The notice to leave."""
+    """The notice to leave, and when it came."""
+
+    at: float
 
 
 class Probe(NamedTuple):
--- a/thymeyoke/net/server.py
+++ b/thymeyoke/net/server.py
@@ -12,7 +12,9 @@
 import anyio
 from anyio.abc import TaskStatus
 
+from thymeyoke import held
 from thymeyoke.net import behind, log
+from thymeyoke.net.clock import clock
 from thymeyoke.net.database import Database
 from thymeyoke.net.desk import Desk
 from thymeyoke.net.front import Front
@@ -83,6 +85,7 @@
             tasks.cancel_scope.cancel()
     finally:
         desk.inbox.close()
+        front.close()
         for side in desk.behind:
             side.close()
         for peer in (processor, database, roster):
@@ -109,13 +112,24 @@
 ) -> None:  # fmt: skip
     """SIGTERM is the notice to leave; a second one changes nothing. SIGHUP asks to read the files again,
     during a drain as well."""
-    left = False
+    notice: list[float] = []  # when it came: the event loop hears of it only when it is through with its turn
+
+    def stamp(*_: Any) -> None:
+        notice.append(clock())
+
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        for number in held.NOTICES:  # in place of a handler that does nothing; what wakes the loop stays
+            signal.signal(number, stamp)
+            signal.siginterrupt(number, False)
+        if (waited := held.let_go()) is not None:
+            notice.insert(0, waited)
         task_status.started()
-        async for number in signals:
-            if number == signal.SIGHUP:
-                for read in again:
-                    read()
-            elif not left:
-                left = True
-                await post(desk.inbox, Leave())
+        try:
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    for read in again:
+                        read()
+                else:
+                    await post(desk.inbox, Leave(notice[0]))
+        finally:
+            held.hold_again()
