--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -55,6 +55,7 @@
         self.router: Router | None = None
         self.options: dict[str, Any] = {}
         self.contract: dict[str, Any] = {}  # of the start file, where a test needs another
+        self.limits: dict[str, Any] = {}  # likewise
         self.extra = ""  # further sections of the operators' file
 
     async def around(self, tasks: TaskGroup) -> None:
@@ -70,6 +71,7 @@
         }  # fmt: skip
         told["settings"]["contract"] |= {"drain_grace_us": 2_000_000, "cold_us": 500_000} | self.contract
         told["settings"]["family_info"]["cpus"] = CORES
+        told["limits"] |= self.limits
         options = {
             "as": 64512, "id": self.id, "addresses": ADDRESS, "next_hop": self.id, "settle": 0.3,
             "crowded_after": 1, "control": self.folder / f"{self.number}.sock",
