A connection is closed only when its answers are written, not when they are told

Connection.tell takes an op off 'open', the writing task has its turn later; front._trim, past a second behind 'leaving', closes whatever has no op open. A look between the two closed the connection over its answers. _make_room went by the same sign.

Change: a connection counts what is told and not yet written, and is idle only when nothing is open, owed or unread; the end waits up to 50 ms for what is told.

--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -14,6 +14,7 @@
 from unittest import mock
 
 import anyio
+import msgpack
 import orjson
 
 from examples.standins import Processor, Router
@@ -63,6 +64,18 @@
             self.assertEqual((await router.answer(late))[0][0], "Shed")
             self.assertEqual(slow.begun, [])
 
+    async def test_what_is_read_in_the_last_moment_is_answered(self) -> None:
+        """Once the desk was gone for the last 60 ms, and who had not yet read `leaving` heard nothing."""
+        # A quarter of it, from 0.15 s before the stop on; the connection is not closed sooner.
+        with mock.patch.object(desk, "FAREWELL", 0.8), mock.patch.object(front, "GRACE", 9.0):
+            async with place(Processor(calls=0)) as here:
+                router = await here.router()
+                await router.answer(await router.check())
+                began = time.time()
+                os.kill(os.getpid(), signal.SIGTERM)
+                await anyio.sleep(began + told()["stop_ms"] / 1000 - desk.STOP_MARGIN + 0.08 - time.time())
+                self.assertEqual((await router.answer(await router.ask("look"), 1.0))[0][0], "Shed")
+
     async def test_a_notice_that_comes_twice_is_one(self) -> None:
         async with place(Processor(calls=0, held=True)) as here:
             router = await here.router()
@@ -124,14 +137,42 @@
         for heard, leaving_since in [(True, 0.0), (False, float("inf"))]:
             connection.heard, connection.leaving_since = heard, leaving_since
             connection.half_since = float("inf") if heard else 0.0
-            with anyio.move_on_after(2 * front.LOOK):
-                await hall._trim()
+            hall._look(connection.used)
             self.assertFalse(connection.scope.cancel_called)
         ours.recv(1)
-        with anyio.move_on_after(2 * front.LOOK):
-            await hall._trim()
+        hall._look(connection.used)
         self.assertTrue(connection.scope.cancel_called)
 
+    async def test_a_connection_is_not_closed_over_an_answer_that_is_told_and_not_written(self) -> None:
+        """On herd+mass 13 ops were given up at once, and the look at what is unused came before the answers
+        went out: their connection was closed, with all 13 on it."""
+        ours, theirs = socket.socketpair()
+        self.addCleanup(theirs.close)
+        inbox, events = anyio.create_memory_object_stream[mail.Event](8)
+        hall = front.Front(mock.Mock(), front.SPARE_DESCRIPTORS + 1, 30.0, inbox)
+        ours.setblocking(False)
+        connection = front.Connection(ours, mock.Mock(), inbox)
+        hall.connections.add(connection)
+        with inbox, events:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(connection.run)
+                await anyio.sleep(0.05)
+                connection.open = {number: f"{number}" for number in range(13)}
+                connection.heard, connection.half_since, connection.leaving_since = True, float("inf"), 0.0
+                for number in range(13):
+                    connection.tell(mail.Answer(number, mail.Verdict.FAIL))
+                self.assertFalse(hall._make_room())
+                hall._look(connection.used)
+                self.assertFalse(connection.scope.cancel_called)
+                await anyio.sleep(0.05)
+                hall._look(connection.used)
+                self.assertTrue(connection.scope.cancel_called)
+        theirs.settimeout(1)
+        unpacker = msgpack.Unpacker()
+        while data := theirs.recv(1 << 14):
+            unpacker.feed(data)
+        self.assertEqual([frame[1] for frame in unpacker], list(range(13)))
+
     async def test_hundreds_that_come_at_once_find_room(self) -> None:
         """Seven in ten routers of a large fleet restart together: all wait in the queue of one listener."""
         many = 400
--- a/thymeyoke/net/desk.py
+++ b/thymeyoke/net/desk.py
@@ -116,7 +116,7 @@
         self.late: list[Command] = []  # to the processor, after this batch's answers
         self.value: float | None = None
         self.fit = True
-        self.notice_at = self.leave_at = self.close_at = float("inf")
+        self.notice_at = self.leave_at = self.close_at = self.end_at = float("inf")
         self.behind: tuple[Behind, ...] = ()  # what the operators' file asks for
         self.ears: tuple[Ear, ...] = ()  # those of them that hear of ops
         self.stay_until = 0.0  # with announcements a drain lasts until the door shuts
@@ -136,7 +136,6 @@
     async def run(self) -> None:
         with self.events:
             await self._run()
-            await anyio.sleep(FAREWELL if clock() < self.leave_at - STOP_MARGIN else FAREWELL / 4)
 
     async def _run(self) -> None:
         while not self.done:
@@ -152,6 +151,9 @@
                 self._guarded(self._hear, now, event)
             self._guarded(self._pass, now)
             self._settle(now)
+            if now >= self.leave_at - LAST_MARGIN:  # behind the module's word on what was read just now
+                for slip in list(self.slips.values()):
+                    self._last_resort(now, slip)
             if now >= self.next_counts:
                 self.next_counts = now + COUNTS_PERIOD
                 self.tell_counts()
@@ -166,7 +168,7 @@
         moments += [heap[0][0] for heap in (self.timers, self.dues) if heap]
         if self.left:
             margin = LAST_MARGIN if self.unanswered else STOP_MARGIN
-            moments += [self.leave_at - margin, self.close_at]
+            moments += [self.leave_at - margin, self.close_at, self.end_at]
             if self.ears:  # answers that wait for a disk are not the desk's: it looks again
                 moments.append(clock() + GAUGE_LEAD)
         if batch := waiting(self.events):
@@ -377,17 +379,17 @@
             moment, id = heappop(self.dues)
             if (slip := self.slips.get(id)) and slip.due <= moment:
                 self._last_resort(now, slip)
-        if now >= self.leave_at - LAST_MARGIN:
-            for slip in list(self.slips.values()):
-                self._last_resort(now, slip)
         if now >= self.close_at:
             self.close_at = float("inf")
             self.front.tell(Leaving())
             self.emptied = not self.front.connections
         gone = self.emptied and now >= self.stay_until
         waits = any(ear.pending() for ear in self.ears)
-        over = (gone and not waits) or now >= self.leave_at - STOP_MARGIN
-        self.done = self.left and not self.unanswered and over
+        stops = now >= self.leave_at - STOP_MARGIN
+        if self.left and not self.unanswered and ((gone and not waits) or stops):
+            # Who has not yet read that we leave may still ask, and is answered until the end.
+            self.end_at = min(self.end_at, now + (FAREWELL / 4 if stops else FAREWELL))
+            self.done = now >= self.end_at
 
     def _last_resort(self, now: float, slip: Slip) -> None:
         if slip.answered:
--- a/thymeyoke/net/front.py
+++ b/thymeyoke/net/front.py
@@ -37,6 +37,7 @@
 ACCEPTS = 64  # in one turn of the event loop, while the door is open
 GRACE = 1.0  # a router that was told `leaving` closes by itself; past this it is done for it
 HALF_SAID = 1.5  # a router finishes what it says, and says something once connected, sooner than this
+FLUSH_LOOK = 0.005
 LOOK = 0.25  # between looks at what is unused or unfinished
 UNCLEAR_LIMIT = 4  # ops of one connection that are not understood; a router sends none
 
@@ -52,6 +53,7 @@
         self.used, self.leaving_since, self.ended = clock(), math.inf, False
         self.half_since = self.used  # since when something is awaited: the first message, or the rest of one
         self.unclear, self.heard = 0, False
+        self.owed = 0  # told and not yet written
 
     def tell(self, what: Telling | None) -> None:
         if isinstance(what, Answer):
@@ -60,6 +62,7 @@
             self.leaving_since = min(self.leaving_since, clock())
         try:
             self.outbox.send_nowait(what)
+            self.owed += 1
         except anyio.WouldBlock:  # it reads no answers: it is closed, and its ops with it
             log.counts["outbox_full"] += 1
             self.scope.cancel()
@@ -88,6 +91,11 @@
                     await anyio.aclose_forcefully(stream)
                 self.accepted.close()
 
+    def idle(self) -> bool:
+        """Whether it can be closed at no one's loss. An answer that is told is not written yet: once a close
+        came between the two."""
+        return not self.open and not self.owed and self.quiet()
+
     def quiet(self) -> bool:
         """Whether nothing stands unread on it. An op that was written before the close is lost with it, and a
         server that is behind with its reading has not heard of it yet."""
@@ -148,7 +156,8 @@
                 if data := b"".join(rpc.encode(what) for what in batch if what is not None):
                     await stream.send(data)
                     self.used = clock()
-                if self.ended and not self.open and not self.unsent.statistics().current_buffer_used:
+                self.owed -= len(batch)
+                if self.ended and not self.open and not self.owed:
                     self.scope.cancel()
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             self.scope.cancel()
@@ -162,7 +171,7 @@
     ) -> None:
         self.names, self.most, self.desk = names, max(1, descriptors - SPARE_DESCRIPTORS), desk
         self.connections: set[Connection] = set()
-        self.idle, self.leaving = idle, False
+        self.idle, self.idle_told, self.leaving = idle, idle, False
         self.door: socket.socket | None = None
         self.tasks: TaskGroup | None = None  # while it runs
 
@@ -189,6 +198,11 @@
             with suppress(anyio.ClosedResourceError):  # the door is shut
                 await self._accept()
 
+    async def flush(self) -> None:
+        """Until all that was told is written; some peer may never take it."""
+        while any(connection.owed for connection in self.connections):
+            await anyio.sleep(FLUSH_LOOK)
+
     def close(self) -> None:
         """For a server that ends without a drain."""
         if self.door is not None:
@@ -239,7 +253,7 @@
         """A full table once shut routers out for peers that hold a connection and say nothing: who never said
         a whole message goes first, then who said the last one longest ago. None with an op open."""
         log.counts["no_descriptor"] += 1
-        idle = [connection for connection in self.connections if not connection.open and connection.quiet()]
+        idle = [connection for connection in self.connections if connection.idle()]
         victim = min(idle, key=lambda connection: (connection.heard, connection.used), default=None)
         if victim is None:
             return False
@@ -258,20 +272,22 @@
                     await post(self.desk, Emptied())
 
     async def _trim(self) -> None:
-        """Close what is unused for long. Only connections with no op open, and the router is told first. A
-        message that stands half said is waited for no longer, whoever sends it."""
         while True:
             await anyio.sleep(min(LOOK, max(ACCEPT_PAUSE, self.idle / 10)))
-            now = clock()
-            for connection in list(self.connections):
-                if now > connection.half_since + HALF_SAID and (connection.heard or connection.quiet()):
-                    log.counts["half_said"] += 1
+            self._look(clock())
+
+    def _look(self, now: float) -> None:
+        """Close what is unused for long. Only connections with no op open, and the router is told first. A
+        message that stands half said is waited for no longer, whoever sends it."""
+        for connection in list(self.connections):
+            if now > connection.half_since + HALF_SAID and (connection.heard or connection.quiet()):
+                log.counts["half_said"] += 1
+                connection.scope.cancel()
+            elif connection.open:
+                continue
+            elif now > connection.leaving_since + GRACE:
+                if connection.idle() or now > connection.used + self.idle_told:  # it takes no answers
                     connection.scope.cancel()
-                elif connection.open:
-                    continue
-                elif now > connection.leaving_since + GRACE:
-                    if connection.quiet():
-                        connection.scope.cancel()
-                elif now > connection.used + self.idle and connection.leaving_since == math.inf:
-                    log.counts["trimmed"] += 1
-                    connection.tell(Leaving())
+            elif now > connection.used + self.idle and connection.leaving_since == math.inf:
+                log.counts["trimmed"] += 1
+                connection.tell(Leaving())
--- a/thymeyoke/net/server.py
+++ b/thymeyoke/net/server.py
@@ -24,6 +24,7 @@
 from thymeyoke.start import Address, BadStart, Names, Station
 
 GARBAGE = (10000, 10, 10)  # ops leave next to no cycles behind: looking for them cost more than it freed
+FLUSH = 0.05  # seconds that last answers may take to be written, at the end
 AGAIN = 0.1  # seconds until an actor that failed starts again
 # What asyncio sets aside for a read, 256 KiB by itself. What stays alive behind such a piece leaves gaps that
 # the next one does not fit in, and the heap grows for as long as the server runs.
@@ -82,6 +83,8 @@
             await tasks.start(_signals, desk, (moves, reforms))
             task_status.started(where)
             await desk.run()
+            with anyio.move_on_after(FLUSH):
+                await front.flush()
             tasks.cancel_scope.cancel()
     finally:
         desk.inbox.close()
