A full table looks for unread ops only until it finds room; a start file of hundreds, tested

Need: since an idle connection is asked whether an op stands unread on it, a full table asked all of them at each accept: hundreds of calls of the system for one place. The stamp of a notice went through the server's one clock, which a signal can interrupt in the middle of its own step.

Change: candidates are put in order first and asked one by one until one is quiet. The stamp reads the system's clock. A case with 1,100 tenants and routers and 300 op types: nothing takes its size from a few, as read.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -787,6 +787,21 @@
             for router, number in numbers.items():
                 self.assertIsNone((await router.answer(number))[0])
 
+    async def test_a_start_file_that_names_hundreds(self) -> None:
+        """Nothing takes its size from a few: tenants, op types and routers of a large fleet."""
+        plain = told()["settings"]
+        tenants = [{"name": f"t{at}", "share": 0.001, "quota_per_s": 1.0} for at in range(1100)]
+        types = [plain["request_classes"][0] | {"name": f"look{at}"} for at in range(300)]
+        many = {"settings__tenants": tenants, "settings__request_classes": types,
+                "settings__family_info__callers": 1100,
+                "settings__family_info__class_calls": [True] * len(types)}  # fmt: skip
+        async with place(**many) as here:
+            router = await here.router()
+            numbers = [await router.ask(f"look{at}", project=f"t{at * 3}", sender=str(800 + at))
+                       for at in range(270, 300)]  # fmt: skip
+            for number in numbers:
+                self.assertIsNone((await router.answer(number))[0])
+
     async def test_notices_cut_anywhere(self) -> None:
         """And what was told before, with its number, is not told again."""
         ask = b'{"event":"ask","cursor":1,"handle":"a","arg":"AP8="}\n'
--- a/thymeyoke/net/front.py
+++ b/thymeyoke/net/front.py
@@ -253,8 +253,9 @@
         """A full table once shut routers out for peers that hold a connection and say nothing: who never said
         a whole message goes first, then who said the last one longest ago. None with an op open."""
         log.counts["no_descriptor"] += 1
-        idle = [connection for connection in self.connections if connection.idle()]
-        victim = min(idle, key=lambda connection: (connection.heard, connection.used), default=None)
+        unused = [one for one in self.connections if not one.open and not one.owed]
+        unused.sort(key=lambda one: (one.heard, one.used))
+        victim = next((one for one in unused if one.quiet()), None)
         if victim is None:
             return False
         self.connections.discard(victim)
--- a/thymeyoke/net/server.py
+++ b/thymeyoke/net/server.py
@@ -7,6 +7,7 @@
 import signal
 from asyncio import selector_events
 from collections.abc import Awaitable, Callable
+from time import time
 from typing import Any
 
 import anyio
@@ -14,7 +15,6 @@
 
 from thymeyoke import held
 from thymeyoke.net import behind, log
-from thymeyoke.net.clock import clock
 from thymeyoke.net.database import Database
 from thymeyoke.net.desk import Desk
 from thymeyoke.net.front import Front
@@ -117,8 +117,8 @@
     during a drain as well."""
     notice: list[float] = []  # when it came: the event loop hears of it only when it is through with its turn
 
-    def stamp(*_: Any) -> None:
-        notice.append(clock())
+    def stamp(*_: Any) -> None:  # not by `clock`: it may stand in the middle of one
+        notice.append(time())
 
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         for number in held.NOTICES:  # in place of a handler that does nothing; what wakes the loop stays
