Other deployments: a server starts with nothing below it, ops need not tell their time left

The servers of a second tier call nothing (settings: below silent) and are told no database; start.station wanted one of all. With that mended a probe that logged the fields showed the next: ops there carry no 'allow' (passes_deadline false), which rpc._ask took for an op that is not understood, and nacked; they carry 'effort', the work expected in ms.

Ruled out: the start itself (all servers that were told a database came up), the module (the drill serves both deployments).

Change: no database is needed where nothing lies below, and none is asked; an op without a time left is due by its type's timeout, and the module is told that none was told; effort, dup (a further try) and without are spoken. At the present deployment none of them is on the wire.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -22,6 +22,7 @@
 from thymeyoke.choice import Choice
 from thymeyoke.net import database, desk, front, invariants, log, mail, processor, rpc
 from thymeyoke.net.keys import Keys, Result
+from thymeyoke.port import actions as act
 from thymeyoke.port.facts import Outcome
 
 NAMES = start.names(told()["settings"])
@@ -49,6 +50,20 @@
             reader = rpc.Reader(NAMES)
             self.assertEqual([message for part in parts for message in reader.feed(part)], expected)
 
+    def test_what_is_not_told_everywhere(self) -> None:
+        """Another deployment's ops: with no time left, but the work expected and a mark on further tries."""
+        bare = {name: text for name, text in FIELDS.items() if name != "allow"}
+        cases: list[tuple[dict[str, str], tuple[float, float, bool]]] = [
+            ({}, (0.0, 0.0, False)),
+            ({"effort": "362.40"}, (0.0, 0.3624, False)),
+            ({"dup": "1"}, (0.0, 0.0, True)),
+            ({"allow": "480"}, (0.48, 0.0, False)),
+        ]
+        for more, said in cases:
+            (ask,) = rpc.Reader(NAMES).feed(msgpack.packb([0, 7, "look", [bare | more, b""]]))
+            self.assertIsInstance(ask, rpc.Ask)
+            self.assertEqual((ask.order.patience, round(ask.order.work, 6), ask.order.further), said)
+
     def test_an_idle_connection_holds_no_decoder(self) -> None:
         """Each takes some 50 KB: with hundreds of connections held open that was most of the memory."""
         reader, data = rpc.Reader(NAMES), msgpack.packb([0, 8, "alive", [{}]])
@@ -62,7 +77,8 @@
         changes = [{"allow": "soon"}, {"allow": "0"}, {"room": "nan"}, {"room": "-1"}, {"room": "2000"},
                    {"class_rank": "1"}, {"since": ""}, {"project": "west"}, {"sender": "x"}, {"ref": "short"},
                    {"since": "9" * 40}, {"since": "9" * 13}, {"ref": 5}, {"sender": "-4"}, {"allow": "4_8"},
-                  {"sender": "\u0664"}, {"replay": ""}, {"replay": 7}]  # fmt: skip
+                  {"sender": "\u0664"}, {"replay": ""}, {"replay": 7}, {"effort": "nan"},
+                   {"effort": "-1"}]  # fmt: skip
         frames = [[0, 3, "look", [FIELDS | changed, b""]] for changed in changes]
         frames += [[0, 3, "sell", [FIELDS, b""]], [0, 3, "look", [{}, b""]], [0, 3, "look", [FIELDS]],
                    [0, 3, "look", []], [0, 3, "look", [FIELDS, "text"]], [0, 3, "alive", []]]  # fmt: skip
@@ -108,6 +124,7 @@
             (mail.Reply("a", b""), {"event": "answer", "handle": "a", "arg": ""}),
             (mail.Interrupt("a"), {"event": "interrupt", "handle": "a"}),
             (mail.TakeUp("a"), {"event": "goon", "handle": "a"}),
+            (mail.Without("a"), {"event": "without", "handle": "a"}),
             (mail.Gauge(), {"event": "usage", "ticket": "gauges"}),
         ]  # fmt: skip
         for command, said in cases:
@@ -265,6 +282,31 @@
                 self.desk._hear(now, event)
             self.assertEqual(self.begins(), begins)
 
+    def test_an_op_whose_time_left_is_not_told(self) -> None:
+        """Its type's timeout counts, here and in the module; once such an op was not understood at all."""
+        now = time.time()
+        self.desk._hear(now, mail.Up(False, 0.0))
+        arrived = self.order(1)
+        self.desk._hear(now, arrived._replace(order=arrived.order._replace(patience=0.0, since=now - 0.5)))
+        slip, job = self.desk.slips[f"{1:016x}"], self.desk.yoke.jobs[f"{1:016x}"]
+        timeout = self.desk.kinds[0].timeout
+        for due in (slip.due, job.due):
+            self.assertAlmostEqual(due, now - 0.5 + timeout, places=3)
+        self.desk._carry_out(now, act.GoOn(f"{1:016x}"))
+        self.assertEqual(slip.command, mail.Without(f"{1:016x}"))
+
+    def test_a_server_with_nothing_below(self) -> None:
+        """Its start file names no database, and none is asked; once it did not start."""
+        given = told(settings__family_info__below="silent")
+        del given["db"]
+        self.assertIsNone(start.station(given).database)
+        below = database.Database(None, self.desk.inbox)
+        self.assertFalse(below.tell(mail.Call(REF, 1.0, b"")))
+        below.outbox.close()
+        below.unsent.close()
+        with self.assertRaises(KeyError):
+            start.station(given | {"settings": told()["settings"]})
+
     async def test_events_gather_in_a_crowd(self) -> None:
         """Few are heard at once, one by one; many wait for a tick, in which more come: one settle for all."""
         for at_once, settles in [(1, 8), (desk.CROWD, 2)]:
--- a/thymeyoke/__main__.py
+++ b/thymeyoke/__main__.py
@@ -86,7 +86,7 @@
     station, names, given = _read(config)
     asked = _read_orders(orders)
     click.echo(f"{station.name} at {station.listen}, {given['machine'].cores} cores")
-    click.echo(f"processor {station.processor}, database {station.database}, list {station.roster}")
+    click.echo(f"processor {station.processor}, database {station.database or 'none'}, list {station.roster}")
     click.echo(f"op types: {', '.join(names.op_types)}")
     click.echo(f"tenants: {', '.join(names.tenants) or 'none'}")
     if orders:
--- a/thymeyoke/net/database.py
+++ b/thymeyoke/net/database.py
@@ -110,7 +110,7 @@
         self.used = self.heard = clock()
         self.doubtful = False  # a call on it never came back: it gets no other
 
-    def takes(self, id: str, where: Address) -> bool:
+    def takes(self, id: str, where: Address | None) -> bool:
         """Replies name an op, not a call: a late one, or a second copy, must not meet the op's next call."""
         sound = not self.doubtful and self.where == where and len(self.carried) < LIFE
         return sound and id not in self.carried
@@ -140,7 +140,7 @@
         self.doubtful = True
         self.scope.cancel()
 
-    def done(self, now: float, where: Address) -> bool:
+    def done(self, now: float, where: Address | None) -> bool:
         """Whether it is of no more use: idle, not to be trusted, at an old address, or stuck in a reply."""
         stuck = self.reader.rest and now > self.heard + HALF_SAID
         useless = now > self.used + IDLE or not self.takes("", where)
@@ -210,8 +210,8 @@
 class Database:
     """Keeps calls. `lines` is emptied as connections end, `calls` as calls do."""
 
-    def __init__(self, where: Address, desk: MemoryObjectSendStream[Event]) -> None:
-        self.where, self.desk = where, desk
+    def __init__(self, where: Address | None, desk: MemoryObjectSendStream[Event]) -> None:
+        self.where, self.desk = where, desk  # no address: nothing lies below, and no call is tried
         self.outbox, self.unsent = anyio.create_memory_object_stream[Call | GiveUp](OUTBOX)
         self.lines: set[Line] = set()
         self.calls: dict[str, Line] = {}
@@ -223,6 +223,9 @@
         if isinstance(what, Move):  # the old connections are still read: their calls may come back
             self.where = what.where
             return True
+        if self.where is None:
+            log.counts["database_none"] += 1
+            return False
         try:
             self.outbox.send_nowait(what)
         except anyio.WouldBlock:
@@ -265,6 +268,7 @@
         return min(fit or self.lines, key=lambda line: len(line.out))
 
     def _open(self, tasks: TaskGroup) -> Line:
+        assert self.where is not None
         line = Line(self.where, self._over)
         self.lines.add(line)
         tasks.start_soon(self._keep, line)
--- a/thymeyoke/net/desk.py
+++ b/thymeyoke/net/desk.py
@@ -22,6 +22,7 @@
 from thymeyoke.net.invariants import holds
 from thymeyoke.net.keys import Key, Keys, Result
 from thymeyoke.net.mail import (
+    NOT_TOLD,
     Answer,
     Arrived,
     Asked,
@@ -56,6 +57,7 @@
     Trim,
     Up,
     Verdict,
+    Without,
     waiting,
 )
 from thymeyoke.net.processor import Processor
@@ -66,7 +68,7 @@
 
 INBOX = 4096
 GAUGE_LEAD = 0.02  # gauges are asked for this long before the module wakes: its timers never wait for them
-LEAST_LEFT = 0.001  # 0 would mean that the time left is not told
+LEAST_LEFT = 0.001  # less would mean that the time left is not told
 STOP_MARGIN = 0.15  # with all answered, the process ends this long before it would be killed
 LAST_MARGIN = 0.1  # by now all is answered, whatever the module says
 FAREWELL = 0.06  # an op may cross a close for 50 ms: after the last answer the process stays this long
@@ -78,9 +80,9 @@
 class Slip:
     """An op from its arrival until it is answered and its run is over."""
 
-    def __init__(self, asker: Asker, number: int, order: Order, key: Key | None) -> None:
+    def __init__(self, asker: Asker, number: int, order: Order, key: Key | None, timeout: float) -> None:
         self.asker, self.number, self.order, self.key = asker, number, order, key
-        self.due = order.since + order.patience
+        self.due = order.since + (order.patience or timeout)
         self.answered = self.begun = self.over = self.paused = self.calling = False
         self.repeats: str | None = None
         self.command: Command | None = None  # the last to the processor, until known to have come through
@@ -258,7 +260,7 @@
             # All tries of one op carry the same body: this is none of it, and gets nothing of its result.
             log.counts["other_body"] += 1
             return asker.tell(Answer(number, Verdict.FAIL, value=self.value))
-        slip = self.slips[order.id] = Slip(asker, number, order, key)
+        slip = self.slips[order.id] = Slip(asker, number, order, key, kind.timeout)
         self.unanswered += 1
         log.counts["ops"] += 1
         heappush(self.dues, (max(now, slip.due) + self.duty.answer_slack, order.id))
@@ -267,8 +269,9 @@
             self.fresh_keys[key] = first or order.id
         self.yoke.take(now, facts.Op(
             id=order.id, type=order.type, tenant=order.tenant, size=order.size, subject=order.subject,
-            hint=0.0, further=False, write=kind.repeat is not Repeat.RETRYABLE, repeats=slip.repeats,
-            prio=order.prio, left=max(LEAST_LEFT, slip.due - now), caller=order.caller,
+            hint=order.work, further=order.further, write=kind.repeat is not Repeat.RETRYABLE,
+            repeats=slip.repeats, prio=order.prio, caller=order.caller,
+            left=max(LEAST_LEFT, slip.due - now) if order.patience else NOT_TOLD,
             unread=max(0.0, now - order.since)))  # fmt: skip
         log.say(logging.DEBUG, "op", id=slip.order.id, type=order.type, left=slip.due - now)
 
@@ -484,9 +487,8 @@
                     self.keys.keep(id, slip.key, now + span, fresh, hash(slip.order.body))
             case act.Forget():
                 self._forget(now, id)
-            case act.GoOn():  # no protocol here has a word for it
-                if not holds(False, "goes_on_only_where_it_can", id=id):
-                    self._answer(slip, Verdict.FAIL)
+            case act.GoOn():
+                self._command(slip, Without(id))
 
     def _forget(self, now: float, id: str) -> None:
         """It never ran: its repeats get nothing from it."""
--- a/thymeyoke/net/mail.py
+++ b/thymeyoke/net/mail.py
@@ -15,6 +15,8 @@
 from thymeyoke.port.facts import Outcome
 from thymeyoke.start import Address
 
+NOT_TOLD = 0.0  # of a patience, or of an op's work
+
 
 class Order(NamedTuple):
     """An op as it was read."""
@@ -24,12 +26,14 @@
     tenant: int
     caller: int
     since: float  # when it reached this machine
-    patience: float  # from `since` until its caller gives up this try
+    patience: float  # from `since` until its caller gives up this try; not told at every deployment
     size: float
     prio: float
     key: str | None  # the same for all tries of a keyed op
     subject: str | None
     body: bytes
+    work: float = NOT_TOLD  # expected, in seconds of a standard core
+    further: bool = False  # marked as a further try
 
 
 class Verdict(Enum):
@@ -175,6 +179,12 @@
     id: str
 
 
+class Without(NamedTuple):
+    """Go on without the call that a run stands at."""
+
+    id: str
+
+
 class Reply(NamedTuple):
     """What came back from the call that a run stands at."""
 
@@ -256,7 +266,7 @@
     def tell(self, what: Standing) -> None: ...
 
 
-Command = Begin | Interrupt | TakeUp | Reply | Gauge
+Command = Begin | Interrupt | TakeUp | Without | Reply | Gauge
 Event = (
     Arrived | Checked | Gone | Emptied | Leave | Probe
     | Up | Synced | Down | Ended | Asked | Gauges | Refused | CallOver
--- a/thymeyoke/net/processor.py
+++ b/thymeyoke/net/processor.py
@@ -28,6 +28,7 @@
     Synced,
     TakeUp,
     Up,
+    Without,
     post,
     waiting,
 )
@@ -39,7 +40,8 @@
 CHUNK = 1 << 16
 LINE_LIMIT = 1 << 16
 FIRST_PAUSE, LAST_PAUSE = 0.02, 0.5  # between tries to connect
-COMMANDS = {"begin": Begin, "interrupt": Interrupt, "goon": TakeUp, "answer": Reply, "usage": Gauge}
+COMMANDS = {"begin": Begin, "interrupt": Interrupt, "goon": TakeUp, "without": Without, "answer": Reply,
+            "usage": Gauge}  # fmt: skip
 GAUGES, SYNC = "gauges", "sync"  # tickets; the second has the link's number behind it
 
 
@@ -63,6 +65,8 @@
             said = {"event": "interrupt", "handle": id}
         case TakeUp(id):
             said = {"event": "goon", "handle": id}
+        case Without(id):
+            said = {"event": "without", "handle": id}
         case Gauge():
             said = {"event": "usage", "ticket": GAUGES}
         case Sync(link):
--- a/thymeyoke/net/rpc.py
+++ b/thymeyoke/net/rpc.py
@@ -7,7 +7,7 @@
 import msgpack
 
 from thymeyoke.net.clock import clock
-from thymeyoke.net.mail import Fitness, Leaving, Order, Telling, Verdict
+from thymeyoke.net.mail import NOT_TOLD, Fitness, Leaving, Order, Telling, Verdict
 from thymeyoke.start import Names
 
 BODY_LIMIT = 2048
@@ -115,9 +115,12 @@
 
     def _ask(self, number: int, method: str, fields: dict[str, str], body: bytes) -> Message:
         try:
-            since, patience = _whole(fields["since"]) / 1000, _whole(fields["allow"]) / 1000
+            since, allow = _whole(fields["since"]) / 1000, fields.get("allow")
+            patience = NOT_TOLD if allow is None else _whole(allow) / 1000
             size, prio, caller = float(fields["room"]), float(fields["class_rank"]), _whole(fields["sender"])
-            if not (0 < size < SIZE_LIMIT and 0 <= prio < 1 and 0 < patience < PATIENCE_LIMIT
+            work = float(fields.get("effort", NOT_TOLD)) / 1000
+            told = allow is None or 0 < patience < PATIENCE_LIMIT
+            if not (0 < size < SIZE_LIMIT and 0 <= prio < 1 and told and 0 <= work < PATIENCE_LIMIT
                     and caller < NUMBER_LIMIT and 0 < since < clock() + SINCE_AHEAD):  # fmt: skip
                 return Unclear(number, "a number is out of bounds")
             tenants = self.names.tenants
@@ -133,6 +136,8 @@
                 key=_mark(fields.get("replay")),
                 subject=_mark(fields.get("lookup")),
                 body=body,
+                work=work,
+                further=fields.get("dup", "0") not in ("", "0"),
             )
         except (KeyError, TypeError, ValueError) as error:
             return Unclear(number, f"{type(error).__name__} {error}")
--- a/thymeyoke/start.py
+++ b/thymeyoke/start.py
@@ -115,7 +115,7 @@
     name: str
     listen: Address
     processor: Address
-    database: Address
+    database: Address | None  # none where nothing lies below
     roster: Address
     stop: float  # from the notice to leave until the process is killed
     descriptors: int
@@ -131,12 +131,13 @@
 
 
 def station(told: dict[str, Any]) -> Station:
-    limits = told.get("limits", {})
+    limits, below = told.get("limits", {}), BELOW[told["settings"]["family_info"].get("below", "silent")]
+    calls = "db" in told or below is not facts.Below.NOTHING
     return Station(
         name=told["name"],
         listen=address(told["listen"]),
         processor=address(told["processor"]),
-        database=address(told["db"]),
+        database=address(told["db"]) if calls else None,
         roster=address(told["naming"]),
         stop=told["stop_ms"] / 1000,
         descriptors=int(limits.get("sockets", 1024)),
