An id that is retained is not taken again: it dropped the key of the op that ran

Ruled out: links lost (the link is the first), an op of another body (that is failed), a window that is over (0.08 s).

Change: an id that is retained is failed, not taken.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -295,6 +295,31 @@
         self.desk._carry_out(now, act.GoOn(f"{1:016x}"))
         self.assertEqual(slip.command, mail.Without(f"{1:016x}"))
 
+    def test_an_id_that_is_retained_is_not_taken_again(self) -> None:
+        """A bad client sent an open op's id, with a key of its own, just as that op ended. The processor
+        began nothing for it, and the first op's key was forgotten with it: the next try ran once more."""
+        now = time.time()
+        asker, bad = mock.Mock(), mock.Mock()
+
+        def op(id: str, key: str, asker: mock.Mock) -> mail.Arrived:
+            body = key.encode()
+            return mail.Arrived(asker, 1, mail.Order(id, 1, 0, 1, now, 2.0, 9.0, 0.5, key, None, body))
+
+        for event in (mail.Up(False, 0.0), mail.Synced(1), op("a" * 16, "k", asker)):
+            self.desk._hear(now, event)
+        self.desk._settle(now)
+        self.assertEqual(self.begins(), 1)
+        self.desk._hear(now, mail.Ended("a" * 16, Outcome.OK, b"done", 0.003))
+        self.desk._hear(now, op("a" * 16, "other", bad))
+        self.desk._settle(now)
+        self.desk._hear(now, mail.Refused("a" * 16, mail.Begin))
+        self.desk._hear(now, op("b" * 16, "k", asker))
+        self.desk._settle(now)
+        self.assertEqual(self.begins(), 1)
+        self.assertEqual([call.args[0].verdict for call in bad.tell.call_args_list], [mail.Verdict.FAIL])
+        told = [(call.args[0].verdict, call.args[0].body) for call in asker.tell.call_args_list]
+        self.assertEqual(told, [(mail.Verdict.ACK, b"done")] * 2)
+
     def test_a_server_with_nothing_below(self) -> None:
         """Its start file names no database, and none is asked; once it did not start."""
         given = told(settings__family_info__below="silent")
--- a/thymeyoke/net/desk.py
+++ b/thymeyoke/net/desk.py
@@ -247,6 +247,11 @@
         if self.yoke is None or order.id in self.slips:
             log.counts["unexpected_ops"] += 1
             return asker.tell(Answer(number, Verdict.NACK, value=self.value))
+        if order.id in self.keys.by_id:
+            # No router uses an id twice. Taken, it would stand for the retained op of that id, and its end
+            # would drop that op's key: the next try would run once more.
+            log.counts["unexpected_ops"] += 1
+            return asker.tell(Answer(number, Verdict.FAIL, value=self.value))
         if self.ears and not all(ear.takes() for ear in self.ears):
             log.counts["refused_by_ledger"] += 1
             wait = self.given["callers"].max_wait
