Ledger: a book is not closed under the thread that is at it

Cause: the test suite ended three times in ten whole runs with a segmentation fault. The trace, now that each file has a process with faulthandler: a thread in Book._version of Book.close (keeper.work), while the main thread is in Keeper.close, Book.close_file (test_no_answer_waits_for_a_book_that_is_not_open). Keeper._off abandons its thread on cancel, and run's end closes the SQLite store under it.

Change: a lock around the book's file; where the abandoned thread holds it, that thread closes the file when it is through.

--- a/thymeyoke/ledger/keeper.py
+++ b/thymeyoke/ledger/keeper.py
@@ -12,9 +12,11 @@
 import sqlite3
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from heapq import heappop, heappush
 from pathlib import Path
 from random import Random
+from threading import Lock
 from typing import NamedTuple, TypeVar
 
 import anyio
@@ -80,6 +82,8 @@
         self.too_large = self.over = self.running = False
         self.book: Book | None = None
         self.limiter = anyio.CapacityLimiter(1)
+        self.using = Lock()  # the book's file
+        self.left_over: Book | None = None  # to be closed by the thread that is at it
         self.sender: exporter.Exporter | None = None
 
     # The seam.
@@ -125,9 +129,16 @@
         self.stirred.set()
 
     def close(self) -> None:
+        """A thread that was abandoned may still be at the book: then it closes it. A file closed under
+        a statement ends the process."""
         if self.book is not None:
-            self.book.close_file()
-            self.book = None
+            book, self.book = self.book, None
+            if self.using.acquire(blocking=False):
+                with suppress(Exception):
+                    book.close_file()
+                self.using.release()
+            else:
+                self.left_over = book
 
     # The book.
 
@@ -163,7 +174,16 @@
 
     async def _off(self, what: Callable[[], Found]) -> Found:
         """In a thread; one at a time. A disk that hangs holds up the thread, not the server."""
-        return await to_thread.run_sync(what, abandon_on_cancel=True, limiter=self.limiter)
+        def work() -> Found:
+            with self.using:
+                try:
+                    return what()
+                finally:
+                    if self.left_over is not None:
+                        self.left_over.close_file()
+                        self.left_over = None
+
+        return await to_thread.run_sync(work, abandon_on_cancel=True, limiter=self.limiter)
 
     async def _keep(self) -> None:
         pause, close_at = RETRY, clock()
