A message that stands half said no longer costs the requests open beside it

Front._look cancelled a connection whose message had stood half said for 1.5 s whatever else was on it: requests that were taken went with it (Gone), and so did answers told and not yet written. The half-said rule now waits, as the others do, until nothing is open, owed or unread; past that the connection ends as before, so a peer with nothing open still has 1.5 s.

The case in tests/test_closing.py failed on the code before (the connection was cancelled with two requests open) and passes now.

--- /dev/null
+++ b/tests/test_closing.py
@@ -0,0 +1,89 @@
+"""Cases for the moment in which a client's connection ends while something is still owed on it."""
+
+from __future__ import annotations
+
+import socket
+import unittest
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+from unittest import mock
+
+import anyio
+import msgpack
+
+from examples.standins import Router
+from tests.server import told, until
+from thymeyoke import start
+from thymeyoke.net import front, mail
+
+NAMES = start.names(told()["settings"])
+IDLE = 30.0
+
+
+class Pair(NamedTuple):
+    """A server's connection and its client's end, with nothing else around them."""
+
+    hall: front.Front
+    connection: front.Connection
+    client: socket.socket
+    events: anyio.streams.memory.MemoryObjectReceiveStream[mail.Event]
+
+    def request(self, number: int, method: str = "look", **fields: str) -> bytes:
+        frame = msgpack.unpackb(Router(mock.Mock()).frame(method, **fields)[1])
+        return msgpack.packb([0, number, *frame[2:]])
+
+    async def answers(self) -> list[list[object]]:
+        """All that the client reads until the end; a reset would raise."""
+        unpacker = msgpack.Unpacker()
+        while True:
+            await anyio.wait_readable(self.client)
+            if not (data := self.client.recv(1 << 16)):
+                return list(unpacker)
+            unpacker.feed(data)
+
+
+@asynccontextmanager
+async def pair(idle: float = IDLE) -> AsyncIterator[Pair]:
+    listener = socket.create_server(("127.0.0.1", 0))
+    client = socket.create_connection(listener.getsockname())
+    ours, _ = listener.accept()
+    listener.close()
+    for end in (ours, client):
+        end.setblocking(False)
+    inbox, events = anyio.create_memory_object_stream[mail.Event](64)
+    hall = front.Front(NAMES, front.SPARE_DESCRIPTORS + 1, idle, inbox)
+    connection = front.Connection(ours, NAMES, inbox)
+    hall.connections.add(connection)
+    with inbox, events, client, anyio.fail_after(5):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(connection.run)
+            yield Pair(hall, connection, client, events)
+            connection.scope.cancel()
+
+
+def later(at: Pair, seconds: float) -> None:
+    """The look at what is unused or unfinished, as if so much time had passed."""
+    at.hall._look(at.connection.used + seconds)
+
+
+class Closing(unittest.IsolatedAsyncioTestCase):
+    async def test_a_message_that_stands_half_said_costs_no_open_request(self) -> None:
+        """The connection was closed with the requests on it. Now it ends as soon as they are answered."""
+        async with pair() as at:
+            half = at.request(3)[:20]
+            at.client.send(at.request(1) + at.request(2) + half)
+            await until(lambda: len(at.connection.open) == 2)
+            later(at, front.HALF_SAID + 1)
+            self.assertFalse(at.connection.scope.cancel_called)
+            for number in (1, 2):
+                at.connection.tell(mail.Answer(number, mail.Verdict.ACK))
+                later(at, front.HALF_SAID + 1)
+                self.assertFalse(at.connection.scope.cancel_called)
+            await until(lambda: not at.connection.owed)
+            later(at, front.HALF_SAID + 1)
+            self.assertEqual([answer[:3] for answer in await at.answers()], [[1, 1, None], [1, 2, None]])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/thymeyoke/net/front.py
+++ b/thymeyoke/net/front.py
@@ -279,9 +279,9 @@
 
     def _look(self, now: float) -> None:
         """Close what is unused for long. Only connections with no op open, and the router is told first. A
-        message that stands half said is waited for no longer, whoever sends it."""
+        message that stands half said ends it too, once what is open beside it is answered."""
         for connection in list(self.connections):
-            if now > connection.half_since + HALF_SAID and (connection.heard or connection.quiet()):
+            if now > connection.half_since + HALF_SAID and connection.idle():
                 log.counts["half_said"] += 1
                 connection.scope.cancel()
             elif connection.open:
