With no idle span in the settings the server ends no connection for being unused

A start file without idle_us, or with 0, gives callers.idle = 0; Front took it as a span of no length: every connection was told leaving at the first look, for ever, and one that had been told was closed with an answer still to be written (now > used + 0). 0 now means never, also where the decisions tell a Trim of 0.

The case in tests/test_closing.py failed on the code before (leaving was told at once) and passes now.

--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import socket
 import unittest
 from collections.abc import AsyncIterator
@@ -84,6 +85,21 @@
             later(at, front.HALF_SAID + 1)
             self.assertEqual([answer[:3] for answer in await at.answers()], [[1, 1, None], [1, 2, None]])
 
+    async def test_with_no_idle_span_no_connection_is_ended(self) -> None:
+        """Every connection was told `leaving` at once where the settings name none; one that had been told
+        and had an answer to be written was closed over it."""
+        async with pair(idle=0.0) as at:
+            at.hall.tell(mail.Trim(0.0))
+            at.client.send(msgpack.packb([0, 1, "alive", [{}]]))
+            await until(lambda: at.connection.heard)
+            at.connection.tell(mail.Fitness(1, True, None))
+            await until(lambda: not at.connection.owed)
+            later(at, 1e6)
+            self.assertEqual(at.connection.leaving_since, math.inf)
+            at.connection.leaving_since, at.connection.owed = 0.0, 1
+            later(at, 1e6)
+            self.assertFalse(at.connection.scope.cancel_called)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/thymeyoke/net/front.py
+++ b/thymeyoke/net/front.py
@@ -171,13 +171,15 @@
     ) -> None:
         self.names, self.most, self.desk = names, max(1, descriptors - SPARE_DESCRIPTORS), desk
         self.connections: set[Connection] = set()
-        self.idle, self.idle_told, self.leaving = idle, idle, False
+        # A deployment that names no idle span has its clients close connections by themselves, or never.
+        self.idle = self.idle_told = idle or math.inf
+        self.leaving = False
         self.door: socket.socket | None = None
         self.tasks: TaskGroup | None = None  # while it runs
 
     def tell(self, what: Trim | Leaving) -> None:
         if isinstance(what, Trim):
-            self.idle = what.span
+            self.idle = what.span or math.inf
         elif not self.leaving:
             self.leaving = True
             self._shut()
