A number that is open is used for nothing else: one clear close, also for health checks

Connection._take looked for an open number for requests alone. A health check under the number of an open request was answered true, which reads as that request served; a request that was not understood under it was refused there and took the number out of open, so that the run's answer was a second one. A check under the number of a check that waits got two answers, and a connection whose only open message was a health check counted as unused, so that a full table or the end of a drain could close it unanswered. Health checks now hold their number until they are answered, count among the 32, and the connection is in use for them.

--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -85,6 +85,20 @@
             later(at, front.HALF_SAID + 1)
             self.assertEqual([answer[:3] for answer in await at.answers()], [[1, 1, None], [1, 2, None]])
 
+    async def test_a_number_that_is_open_is_used_for_nothing_else(self) -> None:
+        """A health check under it was answered `true` in place of its result, what is not understood was
+        refused under it, and both left two answers: now one clear close, and one answer at most."""
+        check = msgpack.packb([0, 1, "alive", [{}]])
+        async with pair() as at:
+            request, unclear = at.request(1), at.request(1, "sell")
+        for first, second in [(request, request), (request, check), (request, unclear), (check, check),
+                              (check, request), (check, unclear)]:  # fmt: skip
+            with self.subTest(first=first, second=second):
+                async with pair() as at:
+                    at.client.send(first + second)
+                    self.assertEqual(await at.answers(), [])
+                    self.assertEqual(at.connection.open, {})
+
     async def test_with_no_idle_span_no_connection_is_ended(self) -> None:
         """Every connection was told `leaving` at once where the settings name none; one that had been told
         and had an answer to be written was closed over it."""
--- a/thymeyoke/net/front.py
+++ b/thymeyoke/net/front.py
@@ -20,6 +20,7 @@
     Checked,
     Emptied,
     Event,
+    Fitness,
     Gone,
     Leaving,
     Telling,
@@ -47,7 +48,7 @@
 
     def __init__(self, accepted: socket.socket, names: Names, desk: MemoryObjectSendStream[Event]) -> None:
         self.accepted, self.desk, self.reader = accepted, desk, rpc.Reader(names)
-        self.open: dict[int, str] = {}
+        self.open: dict[int, str | None] = {}  # requests' ids by number, None for a health check
         self.outbox, self.unsent = anyio.create_memory_object_stream[Telling | None](OUTBOX)
         self.scope = anyio.CancelScope()
         self.used, self.leaving_since, self.ended = clock(), math.inf, False
@@ -56,7 +57,7 @@
         self.owed = 0  # told and not yet written
 
     def tell(self, what: Telling | None) -> None:
-        if isinstance(what, Answer):
+        if isinstance(what, Answer | Fitness):
             self.open.pop(what.number, None)
         elif isinstance(what, Leaving):
             self.leaving_since = min(self.leaving_since, clock())
@@ -84,7 +85,7 @@
             self.unsent.close()
             self.outbox.close()
             with anyio.CancelScope(shield=True):
-                lost, self.open = list(self.open.values()), {}
+                lost, self.open = [id for id in self.open.values() if id], {}
                 for id in lost:
                     await post(self.desk, Gone(id, self))
                 if stream is not None:
@@ -130,18 +131,17 @@
     async def _take(self, message: rpc.Message) -> None:
         match message:
             case rpc.Ask(number, order):
-                if number in self.open:
-                    raise rpc.BadFrame(f"number {number} is open already")
-                if len(self.open) >= OPEN_OPS:
-                    raise rpc.BadFrame("too many ops open")
-                self.open[number] = order.id
+                self._open(number, order.id)
                 await post(self.desk, Arrived(self, number, order))
             case rpc.Check(number):
+                self._open(number, None)
                 await post(self.desk, Checked(self, number))
             case rpc.Cancel(number):
-                if id := self.open.pop(number, None):
+                if id := self.open.get(number):
+                    del self.open[number]
                     await post(self.desk, Gone(id, self))
             case rpc.Unclear(number, why):
+                self._check_unused(number)
                 log.counts["unclear"] += 1
                 log.of_peer("op not understood", why=why)
                 self.tell(Answer(number, Verdict.NACK))
@@ -149,6 +149,17 @@
                 if self.unclear > UNCLEAR_LIMIT:  # the same again as soon as it is turned away, for ever
                     raise rpc.BadFrame("too many ops that are not understood")
 
+    def _open(self, number: int, id: str | None) -> None:
+        self._check_unused(number)
+        if len(self.open) >= OPEN_OPS:
+            raise rpc.BadFrame("too many ops open")
+        self.open[number] = id
+
+    def _check_unused(self, number: int) -> None:
+        """The answer to a second message under an open number would pass for the answer to the first."""
+        if number in self.open:
+            raise rpc.BadFrame(f"number {number} is open already")
+
     async def _write(self, stream: SocketStream) -> None:
         try:
             async for first in self.unsent:
