A connection ends in order: what was told is written, then its sending half ends, then it closes

anyio's SocketStream.aclose is transport.abort: the write buffer is dropped and the socket is closed in the next turn, with no end of the sending half. So bytes that came in that moment made the close a reset, what was told and still in the outbox was not written, and a request in the transport's read queue stood where neither open nor quiet() (a poll of the socket) saw it: a full table closed the connection over it.

Connection now reads and writes its socket itself: what is not unread in the socket has been taken in the same step. At its end it writes what was told, shuts the sending half, reads and drops what still comes until the client's end or 50 ms (the span in which a request may cross a close; 128 KiB at most) and closes. A victim of a full table is closed without that wait. A message that was read in part is waited for (HALF_SAID) where a connection that was told leaving would have been closed, and one whose messages wait for room in the desk's mailbox is in use.

Seen to fail before: in the moment of the close, ECONNRESET in place of the answer for a request and for half a line, and no answer at all with nothing behind it; _make_room closed over a request three turns of the loop after it was written.

--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -114,6 +114,60 @@
             later(at, 1e6)
             self.assertFalse(at.connection.scope.cancel_called)
 
+    async def test_what_comes_in_the_moment_of_the_close(self) -> None:
+        """A request or a piece of one, right behind the decision to close: it is not handed on, the client
+        reads an end and no reset, and what was told before is written."""
+        async with pair() as at:
+            request = at.request(3)
+        for name, late in [("nothing", b""), ("a request", request), ("half a line", request[:20])]:
+            with self.subTest(name):
+                async with pair() as at:
+                    at.client.send(at.request(1))
+                    await until(lambda at=at: at.connection.open)
+                    arrived = at.events.receive_nowait()
+                    at.connection.tell(mail.Answer(1, mail.Verdict.ACK))
+                    at.connection.scope.cancel()
+                    at.client.send(late)
+                    self.assertEqual([answer[:3] for answer in await at.answers()], [[1, 1, None]])
+                    self.assertIsInstance(arrived, mail.Arrived)
+                    self.assertEqual(at.events.statistics().current_buffer_used, 0)
+
+    async def test_what_comes_behind_the_end_of_the_sending_half(self) -> None:
+        """The client had not read the end yet. What it wrote is dropped, and it is not reset for it, as long
+        as something may cross the close; a full table does not wait for that."""
+        for evicted in (False, True):
+            with self.subTest(evicted=evicted), mock.patch.object(front, "LINGER", 3.0, create=True):
+                async with pair() as at:
+                    await anyio.wait_all_tasks_blocked()
+                    if evicted:
+                        self.assertTrue(at.hall._make_room())
+                    else:
+                        at.connection.scope.cancel()
+                    self.assertEqual(await at.answers(), [])
+                    if not evicted:
+                        at.client.send(at.request(1))
+                        at.client.shutdown(socket.SHUT_WR)
+                    await until(lambda at=at: at.connection.accepted.fileno() < 0, within=1.0)
+                    self.assertEqual(at.client.recv(1), b"")
+                    self.assertEqual(at.events.statistics().current_buffer_used, 0)
+
+    async def test_a_request_that_was_written_before_is_never_closed_over(self) -> None:
+        """Read by the event loop and not by the connection's task, it stood where no look saw it: a full
+        table closed the connection over it, or handed it on from a connection that was being closed."""
+        for turns in range(8):
+            with self.subTest(turns=turns):
+                async with pair() as at:
+                    await anyio.wait_all_tasks_blocked()
+                    at.client.send(at.request(1))
+                    for _ in range(turns):
+                        await anyio.sleep(0)
+                    self.assertFalse(at.hall._make_room())
+                    at.hall._look(at.connection.used + front.HALF_SAID + 1)
+                    await until(lambda at=at: at.connection.open)
+                    at.connection.tell(mail.Answer(1, mail.Verdict.ACK))
+                    at.client.shutdown(socket.SHUT_WR)
+                    self.assertEqual(len(await at.answers()), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/thymeyoke/net/front.py
+++ b/thymeyoke/net/front.py
@@ -9,7 +9,7 @@
 from contextlib import suppress
 
 import anyio
-from anyio.abc import SocketAttribute, SocketStream, TaskGroup
+from anyio.abc import SocketAttribute, TaskGroup
 from anyio.streams.memory import MemoryObjectSendStream
 
 from thymeyoke.net import log, rpc
@@ -38,23 +38,33 @@
 ACCEPTS = 64  # in one turn of the event loop, while the door is open
 GRACE = 1.0  # a router that was told `leaving` closes by itself; past this it is done for it
 HALF_SAID = 1.5  # a router finishes what it says, and says something once connected, sooner than this
+LINGER = 0.05  # what crosses a close comes within this: it is read and dropped, and meets no reset
+LINGER_READS = 8  # of a chunk each; past them it is a flood, and a reset is what it gets
 FLUSH_LOOK = 0.005
 LOOK = 0.25  # between looks at what is unused or unfinished
 UNCLEAR_LIMIT = 4  # ops of one connection that are not understood; a router sends none
 
 
 class Connection:
-    """One router connection. `open` is emptied by answers, cancels and the connection's end."""
+    """One router connection. `open` is emptied by answers, cancels and the connection's end.
+
+    It reads and writes its socket without a buffer of its own on the way in: bytes are either unread in the
+    socket, where `quiet` sees them, or have become messages that are taken in the same step. With a stream's
+    buffer between the two, a connection once looked unused while a request stood in that buffer.
+    """
 
     def __init__(self, accepted: socket.socket, names: Names, desk: MemoryObjectSendStream[Event]) -> None:
         self.accepted, self.desk, self.reader = accepted, desk, rpc.Reader(names)
         self.open: dict[int, str | None] = {}  # requests' ids by number, None for a health check
         self.outbox, self.unsent = anyio.create_memory_object_stream[Telling | None](OUTBOX)
         self.scope = anyio.CancelScope()
+        self.lingering = anyio.CancelScope()  # between the end of the sending half and the close
         self.used, self.leaving_since, self.ended = clock(), math.inf, False
         self.half_since = self.used  # since when something is awaited: the first message, or the rest of one
         self.unclear, self.heard = 0, False
+        self.taking = False  # while messages that were read wait for room in the desk's mailbox
         self.owed = 0  # told and not yet written
+        self.rest = memoryview(b"")  # of what is being written
 
     def tell(self, what: Telling | None) -> None:
         if isinstance(what, Answer | Fitness):
@@ -71,31 +81,59 @@
             log.counts["answer_unsent"] += 1
 
     async def run(self) -> None:
-        stream = None
         try:
             with self.scope:
-                stream = await SocketStream.from_socket(self.accepted)
                 async with anyio.create_task_group() as tasks:
-                    tasks.start_soon(self._write, stream)
-                    await self._read(stream)
+                    tasks.start_soon(self._write)
+                    await self._read()
         except Exception as error:
             log.counts["connection_error"] += 1
             log.say(logging.ERROR, "connection ends", error)
         finally:
-            self.unsent.close()
-            self.outbox.close()
             with anyio.CancelScope(shield=True):
-                lost, self.open = [id for id in self.open.values() if id], {}
-                for id in lost:
-                    await post(self.desk, Gone(id, self))
-                if stream is not None:
-                    await anyio.aclose_forcefully(stream)
-                self.accepted.close()
+                await self._end()
+
+    def evict(self) -> None:
+        """End it now: its descriptor is needed, and what may still cross the close is not waited for."""
+        self.scope.cancel()
+        self.lingering.cancel()
+
+    async def _end(self) -> None:
+        """What was told is written, then the sending half ends, then what still comes is read and dropped,
+        then the socket is closed. A close over unread bytes is a reset, and a request that is read once no
+        answer can be written must not be handed on."""
+        lost, self.open = [id for id in self.open.values() if id], {}
+        with suppress(OSError):
+            self.accepted.send(b"".join([self.rest, *map(_encode, waiting(self.unsent))]))
+        with suppress(OSError):  # the router's side is gone already
+            self.accepted.shutdown(socket.SHUT_WR)
+        self.owed = 0
+        self.unsent.close()
+        self.outbox.close()
+        for id in lost:
+            await post(self.desk, Gone(id, self))
+        self.lingering.deadline = anyio.current_time() + LINGER
+        with self.lingering:
+            while not self._drained():
+                await anyio.wait_readable(self.accepted)
+        self.accepted.close()
+
+    def _drained(self) -> bool:
+        """Drop what stands unread; whether the router's side has ended too."""
+        try:
+            for _ in range(LINGER_READS):
+                if not self.accepted.recv(rpc.CHUNK):
+                    break
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
 
     def idle(self) -> bool:
         """Whether it can be closed at no one's loss. An answer that is told is not written yet: once a close
         came between the two."""
-        return not self.open and not self.owed and self.quiet()
+        return not self.open and not self.owed and not self.taking and self.quiet()
 
     def quiet(self) -> bool:
         """Whether nothing stands unread on it. An op that was written before the close is lost with it, and a
@@ -106,28 +144,39 @@
         look.register(self.accepted, select.POLLIN)
         return not look.poll(0)
 
-    async def _read(self, stream: SocketStream) -> None:
+    async def _read(self) -> None:
         try:
-            while True:
-                data = await stream.receive(rpc.CHUNK)
+            while data := await self._receive():
                 self.used = clock()
-                for message in self.reader.feed(data):
-                    await self._take(message)
-                    self.heard, self.half_since = True, self.used
-                if self.heard and not self.reader.half():
-                    self.half_since = math.inf
-                elif self.half_since == math.inf:
-                    self.half_since = self.used
-        except anyio.EndOfStream:  # only its sending half ended: what is open may still be answered
-            self.ended = True
+                await self._feed(data)
+            self.ended = True  # only its sending half: what is open may still be answered
             self.tell(None)
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+        except OSError:
             self.scope.cancel()
         except rpc.BadFrame as error:
             log.counts["bad_frame"] += 1
             log.of_peer("connection closed", why=str(error))
             self.scope.cancel()
 
+    async def _receive(self) -> bytes:
+        while True:
+            await anyio.wait_readable(self.accepted)
+            with suppress(BlockingIOError):
+                return self.accepted.recv(rpc.CHUNK)
+
+    async def _feed(self, data: bytes) -> None:
+        messages = self.reader.feed(data)
+        self.taking = True
+        for message in messages:
+            if not self.scope.cancel_called:  # closed meanwhile: nobody would read the answer
+                await self._take(message)
+        self.taking = False
+        self.heard = self.heard or bool(messages)
+        if self.heard and not self.reader.half():
+            self.half_since = math.inf
+        elif messages or self.half_since == math.inf:
+            self.half_since = self.used
+
     async def _take(self, message: rpc.Message) -> None:
         match message:
             case rpc.Ask(number, order):
@@ -160,19 +209,31 @@
         if number in self.open:
             raise rpc.BadFrame(f"number {number} is open already")
 
-    async def _write(self, stream: SocketStream) -> None:
+    async def _write(self) -> None:
         try:
             async for first in self.unsent:
                 batch = [first, *waiting(self.unsent)]
-                if data := b"".join(rpc.encode(what) for what in batch if what is not None):
-                    await stream.send(data)
+                if data := b"".join(map(_encode, batch)):
+                    await self._send(data)
                     self.used = clock()
                 self.owed -= len(batch)
                 if self.ended and not self.open and not self.owed:
                     self.scope.cancel()
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+        except OSError:
             self.scope.cancel()
 
+    async def _send(self, data: bytes) -> None:
+        self.rest = memoryview(data)
+        while self.rest:
+            try:
+                self.rest = self.rest[self.accepted.send(self.rest) :]
+            except BlockingIOError:
+                await anyio.wait_writable(self.accepted)
+
+
+def _encode(what: Telling | None) -> bytes:
+    return b"" if what is None else rpc.encode(what)
+
 
 class Front:
     """Takes connections and closes what is unused. `connections` is emptied as they end."""
@@ -266,13 +327,13 @@
         """A full table once shut routers out for peers that hold a connection and say nothing: who never said
         a whole message goes first, then who said the last one longest ago. None with an op open."""
         log.counts["no_descriptor"] += 1
-        unused = [one for one in self.connections if not one.open and not one.owed]
-        unused.sort(key=lambda one: (one.heard, one.used))
-        victim = next((one for one in unused if one.quiet()), None)
+        unused = [one for one in self.connections if not one.open and not one.owed and not one.taking]
+        unused.sort(key=lambda one: (not one.scope.cancel_called, one.heard, one.used))
+        victim = next((one for one in unused if one.scope.cancel_called or one.quiet()), None)
         if victim is None:
             return False
         self.connections.discard(victim)
-        victim.scope.cancel()
+        victim.evict()
         return True
 
     async def _serve(self, connection: Connection) -> None:
@@ -294,13 +355,17 @@
         """Close what is unused for long. Only connections with no op open, and the router is told first. A
         message that stands half said ends it too, once what is open beside it is answered."""
         for connection in list(self.connections):
+            if connection.scope.cancel_called:  # it ends already
+                continue
             if now > connection.half_since + HALF_SAID and connection.idle():
                 log.counts["half_said"] += 1
                 connection.scope.cancel()
             elif connection.open:
                 continue
             elif now > connection.leaving_since + GRACE:
-                if connection.idle() or now > connection.used + self.idle_told:  # it takes no answers
+                takes_no_answers = now > connection.used + self.idle_told
+                # A slow writer may be in the middle of a message that it began before it read `leaving`.
+                if (connection.idle() and not connection.reader.half()) or takes_no_answers:
                     connection.scope.cancel()
             elif now > connection.used + self.idle and connection.leaving_since == math.inf:
                 log.counts["trimmed"] += 1
