A full table frees a place's descriptor at once, so that the reserve stays for calls and reports

Front._make_room cancelled its victim, whose socket was closed by its task two turns of the loop later, while up to 64 new connections were accepted in the same turn: with idle clients that come by hundreds the process held up to three times 64 descriptors above its table, of a reserve of 56. Calls, reports and the processor's link would meet EMFILE then. A victim now ends its sending half and is closed within evict, and the event loop forgets the descriptor before it is given out again.

Seen to fail before: with 4 places and 20 clients that come at once 21 descriptors were held (5 allowed, the accepted one counted). Passes now over three such waves, and the last clients let in are heard.

Counted for the reserve: standard streams 3, event loop 3, listener 1, the accepted one 1, processor and list 2 each (the one before may still be closing), database 32, a file read on SIGHUP 1: 45 of 56.

--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import math
+import os
 import socket
 import unittest
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import ExitStack, asynccontextmanager
 from typing import NamedTuple
 from unittest import mock
 
@@ -17,6 +18,7 @@
 from tests.server import told, until
 from thymeyoke import start
 from thymeyoke.net import front, mail
+from thymeyoke.net.log import counts
 
 NAMES = start.names(told()["settings"])
 IDLE = 30.0
@@ -168,6 +170,32 @@
                     at.client.shutdown(socket.SHUT_WR)
                     self.assertEqual(len(await at.answers()), 1)
 
+    async def test_a_full_table_holds_no_more_descriptors_than_it_has_places(self) -> None:
+        """By hundreds of clients that say nothing: a place was given away before its descriptor was free, and
+        the reserve for calls and reports went with it. Who is let in is heard, whatever descriptor it got."""
+        many, places = 20, 4
+        inbox, events = anyio.create_memory_object_stream[mail.Event](64)
+        hall = front.Front(NAMES, front.SPARE_DESCRIPTORS + places, IDLE, inbox)
+        counts.clear()
+        hall.door = socket.create_server(("127.0.0.1", 0), backlog=64)
+        with inbox, events, hall.door, ExitStack() as ends:
+            hall.door.setblocking(False)
+            async with anyio.create_task_group() as hall.tasks:
+                held = set(os.listdir("/proc/self/fd"))
+                for _ in range(3):
+                    clients = [socket.create_connection(hall.door.getsockname()) for _ in range(many)]
+                    for client in clients:
+                        ends.enter_context(client)
+                        held.add(str(client.fileno()))
+                    hall._let_in(many)
+                    self.assertLessEqual(len(set(os.listdir("/proc/self/fd")) - held), places + 1)
+                    await anyio.wait_all_tasks_blocked()
+                for at, client in enumerate(clients[-places:]):
+                    client.sendall(Router(mock.Mock()).frame("look")[1])
+                    await until(lambda at=at: events.statistics().current_buffer_used > at)
+                self.assertEqual((len(hall.connections), counts["connection_error"]), (places, 0))
+                hall.tasks.cancel_scope.cancel()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/thymeyoke/net/front.py
+++ b/thymeyoke/net/front.py
@@ -58,7 +58,6 @@
         self.open: dict[int, str | None] = {}  # requests' ids by number, None for a health check
         self.outbox, self.unsent = anyio.create_memory_object_stream[Telling | None](OUTBOX)
         self.scope = anyio.CancelScope()
-        self.lingering = anyio.CancelScope()  # between the end of the sending half and the close
         self.used, self.leaving_since, self.ended = clock(), math.inf, False
         self.half_since = self.used  # since when something is awaited: the first message, or the rest of one
         self.unclear, self.heard = 0, False
@@ -94,26 +93,33 @@
                 await self._end()
 
     def evict(self) -> None:
-        """End it now: its descriptor is needed, and what may still cross the close is not waited for."""
+        """End it at once: its descriptor is free when this returns, and what may still cross the close is not
+        waited for. Closed by their tasks, two turns later, up to three times ACCEPTS were held beside it."""
         self.scope.cancel()
-        self.lingering.cancel()
+        self._shut()
+        self._drained()
+        anyio.notify_closing(self.accepted)
+        self.accepted.close()
 
-    async def _end(self) -> None:
-        """What was told is written, then the sending half ends, then what still comes is read and dropped,
-        then the socket is closed. A close over unread bytes is a reset, and a request that is read once no
-        answer can be written must not be handed on."""
-        lost, self.open = [id for id in self.open.values() if id], {}
+    def _shut(self) -> None:
+        """Write what was told, as far as it is taken at once, and end the sending half."""
         with suppress(OSError):
             self.accepted.send(b"".join([self.rest, *map(_encode, waiting(self.unsent))]))
         with suppress(OSError):  # the router's side is gone already
             self.accepted.shutdown(socket.SHUT_WR)
         self.owed = 0
+
+    async def _end(self) -> None:
+        """What was told is written, then the sending half ends, then what still comes is read and dropped,
+        then the socket is closed. A close over unread bytes is a reset, and a request that is read once no
+        answer can be written must not be handed on."""
+        lost, self.open = [id for id in self.open.values() if id], {}
+        self._shut()
         self.unsent.close()
         self.outbox.close()
         for id in lost:
             await post(self.desk, Gone(id, self))
-        self.lingering.deadline = anyio.current_time() + LINGER
-        with self.lingering:
+        with anyio.move_on_after(LINGER), suppress(anyio.ClosedResourceError):  # evicted meanwhile
             while not self._drained():
                 await anyio.wait_readable(self.accepted)
         self.accepted.close()
@@ -151,7 +157,7 @@
                 await self._feed(data)
             self.ended = True  # only its sending half: what is open may still be answered
             self.tell(None)
-        except OSError:
+        except (OSError, anyio.ClosedResourceError):
             self.scope.cancel()
         except rpc.BadFrame as error:
             log.counts["bad_frame"] += 1
@@ -160,6 +166,8 @@
 
     async def _receive(self) -> bytes:
         while True:
+            if self.accepted.fileno() < 0:  # evicted before its task began
+                raise anyio.ClosedResourceError
             await anyio.wait_readable(self.accepted)
             with suppress(BlockingIOError):
                 return self.accepted.recv(rpc.CHUNK)
@@ -219,7 +227,7 @@
                 self.owed -= len(batch)
                 if self.ended and not self.open and not self.owed:
                     self.scope.cancel()
-        except OSError:
+        except (OSError, anyio.ClosedResourceError):
             self.scope.cancel()
 
     async def _send(self, data: bytes) -> None:
