Only integers on the wire are message kinds and numbers: true and 0.0 end the connection

Reader._message matched literals and int(): to Python False and 0.0 equal 0 and True is an int, so that [false, 7, ...], [0.0, 7, ...] and [0, true, ...] passed for requests and would have been served. All five kinds in the new case were taken before and are bad frames now. A second case holds what was sound already: each width of integers, strings, maps, arrays and bodies that the protocol allows, with an unknown field, cut anywhere, byte by byte and as several messages in one read.

--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -8,7 +8,8 @@
 import unittest
 from collections.abc import AsyncIterator
 from contextlib import ExitStack, asynccontextmanager
-from typing import NamedTuple
+from io import BytesIO
+from typing import Any, NamedTuple
 from unittest import mock
 
 import anyio
@@ -17,7 +18,7 @@
 from examples.standins import Router
 from tests.server import told, until
 from thymeyoke import start
-from thymeyoke.net import front, mail
+from thymeyoke.net import front, mail, rpc
 from thymeyoke.net.log import counts
 
 NAMES = start.names(told()["settings"])
@@ -197,5 +198,48 @@
                 hall.tasks.cancel_scope.cancel()
 
 
+HEADS = {str: (0xA0, 0xD9, 1), bytes: (None, 0xC4, 1), list: (0x90, 0xDC, 2), dict: (0x80, 0xDE, 2)}
+
+
+def packed(form: int, value: Any) -> bytes:
+    """MessagePack of a value, with every integer, string, map and array in it in one form of its kind."""
+    if isinstance(value, int):
+        wide = [bytes([first + at]) + value.to_bytes(1 << at) for first in (0xCC, 0xD0) for at in range(4)]
+        return [bytes([value]), *wide][form % 9]
+    fixed, first, least = HEADS[type(value)]
+    widths = [width for width in (1, 2, 4) if width >= least]
+    heads = [bytes([first + at]) + len(value).to_bytes(width) for at, width in enumerate(widths)]
+    if fixed is not None:
+        heads.append(bytes([fixed | len(value)]))
+    if isinstance(value, dict):
+        value = [one for pair in value.items() for one in pair]
+    if isinstance(value, list):
+        value = b"".join(packed(form, one) for one in value)
+    return heads[form % len(heads)] + (value.encode() if isinstance(value, str) else value)
+
+
+class Forms(unittest.TestCase):
+    def test_every_form_of_messagepack_however_it_is_cut(self) -> None:
+        frame = msgpack.unpackb(Router(mock.Mock()).frame("look", b"body", lookup="7f3a")[1])
+        frame[3][0]["unknown"] = "field"
+        frames = [frame, [0, 8, "alive", [{}]], [2, "cancelRequest", [1]]]
+        expected = rpc.Reader(NAMES).feed(b"".join(map(msgpack.packb, frames)))
+        self.assertEqual([type(one) for one in expected], [rpc.Ask, rpc.Check, rpc.Cancel])
+        for form in range(36):
+            data = b"".join(packed(form, one) for one in frames)
+            self.assertEqual(list(msgpack.Unpacker(BytesIO(data))), frames)
+            cuts = [[data[:at], data[at:]] for at in range(1, len(data))]
+            for parts in [[data], [data[at : at + 1] for at in range(len(data))], *cuts]:
+                reader = rpc.Reader(NAMES)
+                self.assertEqual([one for part in parts for one in reader.feed(part)], expected)
+                self.assertFalse(reader.half())
+
+    def test_what_only_equals_an_integer_is_none(self) -> None:
+        for frame in ([False, 7, "alive", [{}]], [0.0, 7, "alive", [{}]], [0, True, "alive", [{}]],
+                      [2.0, "cancelRequest", [7]], [2, "cancelRequest", [True]]):  # fmt: skip
+            with self.subTest(frame=frame), self.assertRaises(rpc.BadFrame):
+                rpc.Reader(NAMES).feed(msgpack.packb(frame))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/thymeyoke/net/rpc.py
+++ b/thymeyoke/net/rpc.py
@@ -64,6 +64,11 @@
     return text
 
 
+def _plain(*numbers: Any) -> bool:
+    """Whether these are integers on the wire: to Python `true` is one as well, and 0.0 equals 0."""
+    return all(type(number) is int for number in numbers)
+
+
 class Reader:
     """The messages of one connection, however its bytes are cut."""
 
@@ -102,14 +107,15 @@
 
     def _message(self, frame: Any) -> Message:
         match frame:
-            case [0, int(number), str(method), list(given)] if 0 <= number < NUMBER_LIMIT:
+            case [0 as kind, int(number), str(method), list(given)] if (
+                    _plain(kind, number) and 0 <= number < NUMBER_LIMIT):  # fmt: skip
                 match given:
                     case [dict()] if method == CHECK:
                         return Check(number)
                     case [dict(fields), bytes(body)]:
                         return self._ask(number, method, fields, body)
                 return Unclear(number, "arguments are not fields and a body")
-            case [2, "cancelRequest", [int(number)]]:
+            case [2 as kind, "cancelRequest", [int(number)]] if _plain(kind, number):
                 return Cancel(number)
         raise BadFrame(f"unknown message {str(frame)[:80]}")
 
