A drain gives up before its last resort, whatever stop, grace, slack and tick

Cause: the margins of a drain were constants (desk.py LAST_MARGIN 0.1, STOP_MARGIN 0.15), while the decisions give up what is left at a beat that lies between 2.5 beats and one beat before the stop that they are told, a beat being max(answer slack, 8 ticks). Change: `plan_drain` has all moments in one place: door <= stops - 60 ms, last beat < last resort < kill; margins shrink with a stop that they do not fit in twice. The decisions are told a stop that lies early enough for one more beat, and their pending wakes are brought forward to the last beat. With a slack of 0.12 s or more and a stop of 0.3 s or more nothing changes. One turn of the loop is `_turn`, so that tests drive the dispatcher on a clock of their own (`standins/dispatcher.py`). Test: ten figures of stop, grace, slack and tick, with requests every 5 ms until the end.

--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,59 @@
+"""Moments in which something is still owed, forced on the dispatcher and its peers."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+from unittest import mock
+
+from standins.dispatcher import START, SimulatedDispatcher
+from tests.server import told
+from thymeyoke import start
+from thymeyoke.net import mail
+from thymeyoke.net.log import counts
+
+NAMES = start.names(told()["settings"])
+SERVED, FAILED, REJECTED = ["acked"], ["failed"], ["nacked"]
+
+
+class Dispatcher(unittest.TestCase):
+    def simulated(self, stop: float = 2.0, **changed: Any) -> SimulatedDispatcher:
+        here = SimulatedDispatcher(stop, told(**changed)["settings"])
+        self.addCleanup(here.close)
+        return here
+
+
+class Drain(Dispatcher):
+    def test_the_decisions_give_up_before_the_last_resort_whatever_the_figures(self) -> None:
+        """Requests come until the end and none of their runs ends. By stop, grace, slack and tick."""
+        figures = [
+            (3.2, 2.0, 0.06, 0.004), (2.0, 0.5, 0.1, 0.004), (2.0, 0.5, 0.0, 0.004), (2.0, 0.5, 0.06, 0.01),
+            (2.0, 0.0, 0.4, 0.004), (0.6, 0.5, 0.4, 0.004), (0.2, 0.5, 0.06, 0.004), (0.2, 0.1, 0.4, 0.004),
+            (0.12, 0.5, 0.02, 0.001), (1.0, 3.0, 1.0, 0.05),
+        ]  # fmt: skip
+        for stop, grace, slack, tick in figures:
+            with self.subTest(stop=stop, grace=grace, slack=slack, tick=tick):
+                contract = {"answer_slack_us": slack, "drain_grace_us": grace}
+                seconds = {f"settings__contract__{name}": value for name, value in contract.items()}
+                seconds["settings__tick_us"] = tick
+                self.drain(stop, {name: int(value * 1e6) for name, value in seconds.items()})
+
+    def drain(self, stop: float, changed: dict[str, int]) -> None:
+        here, broken = self.simulated(stop, **changed), counts["broken_answered_in_time"]
+        here.run_until(START + 1.0)
+        here.hear(here.arrive("first"))
+        notice = here.now
+        here.hear(mail.Leave(notice))
+        while here.now < notice + stop and not here.desk.done:
+            here.run_until(here.now + 0.005, late=0.004)
+            if not here.desk.done:
+                here.hear(here.arrive(f"{here.now}"))
+        self.assertTrue(here.desk.done)
+        self.assertLess(here.now, notice + stop)
+        self.assertEqual(counts["broken_answered_in_time"], broken)
+        self.assertEqual({len(answers) for answers in here.answers.values()}, {1})
+        self.assertIn(mock.call(mail.Leaving()), here.front.tell.call_args_list)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/thymeyoke/net/desk.py
+++ b/thymeyoke/net/desk.py
@@ -9,7 +9,7 @@
 import logging
 from collections.abc import Callable
 from heapq import heappop, heappush
-from typing import Any
+from typing import Any, NamedTuple
 
 import anyio
 
@@ -71,6 +71,7 @@
 LEAST_LEFT = 0.001  # less would mean that the time left is not told
 STOP_MARGIN = 0.15  # with all answered, the process ends this long before it would be killed
 LAST_MARGIN = 0.1  # by now all is answered, whatever the module says
+BEAT_LATE = 0.02  # the decisions' last beat comes this long before that, as timers are late
 FAREWELL = 0.06  # an op may cross a close for 50 ms: after the last answer the process stays this long
 COUNTS_PERIOD = 10.0
 CROWD = 4  # events in a batch from which on more are waited for
@@ -93,6 +94,33 @@
         self.told = False  # its end, to those who hear of ops
 
 
+class DrainPlan(NamedTuple):
+    """The moments of a drain. They keep their order whatever stop, grace and slack the settings name."""
+
+    notice: float
+    door: float  # nobody is let in any more, and callers are told
+    stops: float  # with all answered the process ends from here on
+    last_beat: float  # the decisions have given up all that is left
+    last_resort: float  # what has no answer by now is failed
+    kill: float
+
+    def policy_stop(self, beat: float) -> float:
+        """The stop that the decisions are told. They give up what is left at a beat that may come as late as
+        one beat before it: with a short beat that was behind the last resort."""
+        return min(self.kill, self.last_beat + beat)
+
+
+def plan_drain(notice: float, stop: float, grace: float) -> DrainPlan:
+    kill = notice + stop
+    shrink = min(1.0, stop / (2 * STOP_MARGIN))  # a stop that the margins do not fit in twice shortens them
+    stops = kill - shrink * STOP_MARGIN
+    last_resort = kill - shrink * LAST_MARGIN
+    # Who is told to leave may have an op on its way for FAREWELL: the process is still there for it.
+    door = min(notice + min(grace, stop / 2), stops - FAREWELL)
+    last_beat = last_resort - shrink * BEAT_LATE
+    return DrainPlan(notice, max(notice, door), stops, last_beat, last_resort, kill)
+
+
 class Desk:
     def __init__(self, stop: float, given: dict[str, Any]) -> None:
         self.stop, self.given = stop, given
@@ -118,7 +146,8 @@
         self.late: list[Command] = []  # to the processor, after this batch's answers
         self.value: float | None = None
         self.fit = True
-        self.notice_at = self.leave_at = self.close_at = self.end_at = float("inf")
+        self.plan: DrainPlan | None = None  # from the notice to leave on
+        self.close_at = self.end_at = float("inf")
         self.behind: tuple[Behind, ...] = ()  # what the operators' file asks for
         self.ears: tuple[Ear, ...] = ()  # those of them that hear of ops
         self.stay_until = 0.0  # with announcements a drain lasts until the door shuts
@@ -142,23 +171,25 @@
     async def _run(self) -> None:
         while not self.done:
             batch = await self._collect()
-            now = clock()
             if len(batch) >= CROWD:
                 # A turn for each event costs several times what the event does: in a crowd they gather for as
                 # long as the module is told that batches lie apart. With few events nothing waits.
                 await anyio.sleep(self.tick)
                 batch += waiting(self.events)
-                now = clock()
-            for event in batch:
-                self._guarded(self._hear, now, event)
-            self._guarded(self._pass, now)
-            self._settle(now)
-            if now >= self.leave_at - LAST_MARGIN:  # behind the module's word on what was read just now
-                for slip in list(self.slips.values()):
-                    self._last_resort(now, slip)
-            if now >= self.next_counts:
-                self.next_counts = now + COUNTS_PERIOD
-                self.tell_counts()
+            self._turn(clock(), batch)
+
+    def _turn(self, now: float, batch: list[Event]) -> None:
+        """All that is heard and due at one moment."""
+        for event in batch:
+            self._guarded(self._hear, now, event)
+        self._guarded(self._pass, now)
+        self._settle(now)
+        if self.plan and now >= self.plan.last_resort:  # behind the module's word on what was read just now
+            for slip in list(self.slips.values()):
+                self._last_resort(now, slip)
+        if now >= self.next_counts:
+            self.next_counts = now + COUNTS_PERIOD
+            self.tell_counts()
 
     def tell_counts(self) -> None:
         pairs = log.gauges | log.counts
@@ -166,19 +197,23 @@
 
     async def _collect(self) -> list[Event]:
         """Wait for an event or the next moment, then take all that is there."""
+        if batch := waiting(self.events):
+            return batch
+        with anyio.move_on_after(max(0.0, self._next_moment() - clock())):
+            batch.append(await self.events.receive())
+        return batch + waiting(self.events)
+
+    def _next_moment(self) -> float:
+        """When to look again, whatever is heard until then."""
         moments = [self.next_counts]
         moments += [heap[0][0] for heap in (self.timers, self.dues) if heap]
-        if self.left:
-            margin = LAST_MARGIN if self.unanswered else STOP_MARGIN
+        if self.plan:
             ends = self.end_at < float("inf") and not self.unanswered  # nothing else is waited for
-            moments += [self.close_at, self.end_at if ends else self.leave_at - margin]
+            stops = self.plan.last_resort if self.unanswered else self.plan.stops
+            moments += [self.close_at, self.end_at if ends else stops]
             if self.ears:  # answers that wait for a disk are not the desk's: it looks again
                 moments.append(clock() + GAUGE_LEAD)
-        if batch := waiting(self.events):
-            return batch
-        with anyio.move_on_after(max(0.0, min(moments) - clock())):
-            batch.append(await self.events.receive())
-        return batch + waiting(self.events)
+        return min(moments)
 
     def _guarded(self, what: Callable[..., Any], *given: Any) -> Any:
         """An error in the decisions, or here, ends neither the server nor the answers due."""
@@ -233,8 +268,8 @@
             self.warm_at = now - age + survival.cold_span if cold else 0.0
             self.yoke = Choice(now=now - age, **{**self.given, "survival": survival, "duty": self.duty})
             log.say(logging.INFO, "up", cold=cold, age=age)
-            if self.left:  # the notice came first: without it, all would be run whenever it reached us
-                self.yoke.leave(self.notice_at, self.stop)
+            if self.plan:  # the notice came first: without it, all would be run whenever it reached us
+                self._leave_to_policy(self.yoke, self.plan)
 
     def _standing(self) -> Standing:
         busy = self.gauges[self.busy_at] if self.gauges and self.busy_at is not None else None
@@ -344,31 +379,32 @@
             self._ended(now, Ended(id, Outcome.MOOT, b""))
             self._forget(now, id)
 
-    @property
-    def left(self) -> bool:
-        """Whether the notice to leave came."""
-        return self.notice_at < float("inf")
-
     def _leave(self, now: float, at: float) -> None:
         """`at`: when the notice came. All spans count from there, however late it is heard."""
-        if self.left:
+        if self.plan:
             return
-        self.notice_at, self.leave_at = at, at + self.stop
+        self.plan = plan_drain(at, self.stop, self.duty.drain_grace)
         log.say(logging.INFO, "leaving", left=self.stop, in_hand=len(self.slips), heard=now - at)
         # Routers hear of it seconds later, and the module takes what comes within the grace: with the door
         # shut at once that was missing, while those who took over were still cold.
-        self.close_at = at + min(self.duty.drain_grace, self.stop / 2)
-        self.emptied = not self.front.connections
+        self.close_at = self.plan.door
         if any(side.stays for side in self.behind):
             # Who follows an announcement comes until it is withdrawn, and a while after.
             self.stay_until = self.close_at
+        self.emptied = not self.front.connections
         for side in self.behind:
             side.tell(Draining(self.close_at))
         if self.yoke:
-            self.yoke.leave(at, self.stop)
+            self._leave_to_policy(self.yoke, self.plan)
         else:
             self._carry_out(now, act.Health(True, False))
 
+    def _leave_to_policy(self, yoke: Choice, plan: DrainPlan) -> None:
+        """The notice, and beats that fit into the time left: with a stop shorter than a beat none came."""
+        yoke.leave(plan.notice, plan.policy_stop(yoke.beat) - plan.notice)
+        latest = {True: plan.last_beat - GAUGE_LEAD, False: plan.last_beat}  # by whether gauges are asked for
+        self.timers = sorted((min(at, latest[mark is None]), *rest, mark) for at, *rest, mark in self.timers)
+
     # Moments that pass.
 
     def _pass(self, now: float) -> None:
@@ -394,8 +430,8 @@
             self.emptied = not self.front.connections
         gone = self.emptied and now >= self.stay_until
         waits = any(ear.pending() for ear in self.ears)
-        stops = now >= self.leave_at - STOP_MARGIN
-        if self.left and not self.unanswered and ((gone and not waits) or stops):
+        stops = self.plan is not None and now >= self.plan.stops
+        if self.plan and not self.unanswered and ((gone and not waits) or stops):
             # Who has not yet read that we leave may still ask, and is answered until the end.
             self.end_at = min(self.end_at, now + (FAREWELL / 4 if stops else FAREWELL))
             self.done = now >= self.end_at
