With no connection at the notice the door shuts before the process ends

Cause: desk.py `_leave` set `emptied` from the connections that there were at the notice, with the door still open until the end of the grace. The process then ended 60 ms later, whoever had connected meanwhile, without `leaving`, and closed the listener over those who waited in its queue: a request written there was reset. Change: with nobody connected the door is shut at once (who waits in the queue is let in), and only a shut door lets the process count itself as emptied. Where an announcement keeps the drain open the door stays open as before. Test: one caller waits in the queue at the notice.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -54,6 +54,20 @@
         self.assertEqual({len(answers) for answers in here.answers.values()}, {1})
         self.assertIn(mock.call(mail.Leaving()), here.front.tell.call_args_list)
 
+    def test_nobody_is_let_in_by_a_process_that_is_about_to_end(self) -> None:
+        """With no connection at the notice the door once stood open until the end, and over its closing."""
+        here = self.simulated()
+        here.front.connections.clear()
+        here.front.tell.side_effect = lambda _: here.front.connections.add("waited in the queue")
+        here.hear(mail.Leave(here.now))
+        self.assertEqual(here.front.tell.call_args_list[-1], mock.call(mail.Leaving()))
+        here.run_until(START + 1.0)
+        self.assertFalse(here.desk.done)
+        here.front.connections.clear()
+        here.hear(mail.Emptied())
+        here.run_until(START + 1.1)
+        self.assertTrue(here.desk.done)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/thymeyoke/net/desk.py
+++ b/thymeyoke/net/desk.py
@@ -391,7 +391,10 @@
         if any(side.stays for side in self.behind):
             # Who follows an announcement comes until it is withdrawn, and a while after.
             self.stay_until = self.close_at
-        self.emptied = not self.front.connections
+        elif not self.front.connections:
+            # Nobody is left to wait for, and the process is about to end. Once it ended with the door open,
+            # and was closed over who had come in the meantime.
+            self.close_at = at
         for side in self.behind:
             side.tell(Draining(self.close_at))
         if self.yoke:
