Tries of one key in one batch: the next first try is found, and only one is run

Cause, two faults around `fresh_keys` (desk.py `_arrived`), each seen to fail alone: - a run that is refused in a batch drops its request while `fresh_keys` still names it: the next try of the key in the same batch failed with "KeyError at desk.py:342: '1'" in `_same_body`, and had no answer at all; - where the first try of a batch is turned away, each later one took itself for the first: of four tries the second and third were both run ("['history', '2', '3'] != ['history', '2']"), which breaks the rule on keyed requests. Change: a first try that has gone names nobody, and the try that is run instead is the one that later ones repeat. Ruled out: tries in different batches (`Keys.find` names the retained one), and a first try that is turned away later in the same settle (its repeats get a final `failed` by Forget).

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,11 +6,12 @@
 from typing import Any
 from unittest import mock
 
-from standins.dispatcher import START, SimulatedDispatcher
+from standins.dispatcher import KEYED, START, SimulatedDispatcher
 from tests.server import told
 from thymeyoke import start
 from thymeyoke.net import mail
 from thymeyoke.net.log import counts
+from thymeyoke.port.facts import Outcome
 
 NAMES = start.names(told()["settings"])
 SERVED, FAILED, REJECTED = ["acked"], ["failed"], ["nacked"]
@@ -69,5 +70,33 @@
         self.assertTrue(here.desk.done)
 
 
+class Keyed(Dispatcher):
+    def setUp(self) -> None:
+        self.here = self.simulated()
+
+    def keyed(self, id: str, **changed: Any) -> mail.Arrived:
+        return self.here.arrive(id, KEYED, **changed)
+
+    def test_of_tries_in_a_batch_whose_first_is_turned_away_one_is_run(self) -> None:
+        """Their class has run for 0.5 s, and the first has less left than that."""
+        here = self.here
+        here.hear(self.keyed("history", key="f" * 32))
+        here.now += 0.5
+        here.hear(mail.Ended("history", Outcome.OK, b""))
+        here.hear(self.keyed("1", patience=0.3), *(self.keyed(id) for id in "234"))
+        self.assertEqual(here.begun(), ["history", "2"])
+        here.hear(mail.Ended("2", Outcome.OK, b"made"))
+        self.assertEqual(here.verdicts(*"1234"), [REJECTED, SERVED, SERVED, SERVED])
+
+    def test_tries_in_one_batch_with_the_refusal_of_their_run(self) -> None:
+        """The third one once found the request that had just ended, and had no answer."""
+        here = self.here
+        here.hear(self.keyed("1"))
+        here.hear(self.keyed("2"), mail.Refused("1", mail.Begin), self.keyed("3"))
+        self.assertEqual(here.begun(), ["1", "3"])
+        here.hear(mail.Ended("3", Outcome.OK, b"made"))
+        self.assertEqual(here.verdicts(*"123"), [FAILED, FAILED, SERVED])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/thymeyoke/net/desk.py
+++ b/thymeyoke/net/desk.py
@@ -13,7 +13,7 @@
 
 import anyio
 
-from thymeyoke.choice import Choice
+from thymeyoke.choice import Choice, Want
 from thymeyoke.net import log
 from thymeyoke.net.behind import Behind, Ear
 from thymeyoke.net.clock import clock
@@ -295,7 +295,7 @@
         marked = order.key if kind.repeat is Repeat.KEYED else order.subject if self.fresh else None
         key = (order.type, marked) if marked else None
         # Two tries in one batch know each other though the earlier is not retained yet.
-        first = (self.keys.find(key, order.since) or self.fresh_keys.get(key)) if key else None
+        first = self._first_try(key, order.since) if key else None
         if first and order.key and not self._same_body(first, order):
             # All tries of one op carry the same body: this is none of it, and gets nothing of its result.
             log.counts["other_body"] += 1
@@ -304,17 +304,31 @@
         self.unanswered += 1
         log.counts["ops"] += 1
         heappush(self.dues, (max(now, slip.due) + self.duty.answer_slack, order.id))
-        if key:
-            slip.repeats = first
-            self.fresh_keys[key] = first or order.id
+        slip.repeats = first
         self.yoke.take(now, facts.Op(
             id=order.id, type=order.type, tenant=order.tenant, size=order.size, subject=order.subject,
             hint=order.work, further=order.further, write=kind.repeat is not Repeat.RETRYABLE,
             repeats=slip.repeats, prio=order.prio, caller=order.caller,
             left=max(LEAST_LEFT, slip.due - now) if order.patience else NOT_TOLD,
             unread=max(0.0, now - order.since)))  # fmt: skip
+        if key:
+            self.fresh_keys[key] = self._runs_for(first, order.id)
         log.say(logging.DEBUG, "op", id=slip.order.id, type=order.type, left=slip.due - now)
 
+    def _first_try(self, key: Key, reached: float) -> str | None:
+        """The retained request that a try of this key repeats, or the one that came in this batch."""
+        if retained := self.keys.find(key, reached):
+            return retained
+        # A run that was not begun ends its request, and this batch may have more tries of it.
+        first = self.fresh_keys.get(key)
+        return first if first in self.slips else None
+
+    def _runs_for(self, first: str | None, id: str) -> str:
+        """Which request the next try of its key in this batch repeats. One whose first try is turned away is
+        a first try itself: the next one once took itself for that as well, and both were run."""
+        job = self.yoke.jobs.get(id) if self.yoke else None
+        return first if first and job and job.want is Want.REUSE else id
+
     def _same_body(self, first: str, order: Order) -> bool:
         kept = self.keys.by_id.get(first)
         return kept.mark == hash(order.body) if kept else self.slips[first].order.body == order.body
