A key goes back to the request before, and a clock ahead opens no window

Cause: a newer request takes its key over (keys.py `keep`), and when it was turned away or refused by the processor `forget` left the key to nobody, though the older one's window still held for a try that was read later. A `since` up to a second ahead (rpc.py SINCE_AHEAD) made a bad client's try lie behind the window of the run, so that it took the key over as well. In both cases the next honest try within the window was run once more. Change: `since` counts as at most now where a key is looked up; a dropped request hands its key back to the one before. Test: both cases; seen to fail without the change ("'last 0.9' unexpectedly found in ['first 0.9', 'between 0.9', 'last 0.9']", and the same behind the window).

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -97,6 +97,23 @@
         here.hear(mail.Ended("3", Outcome.OK, b"made"))
         self.assertEqual(here.verdicts(*"123"), [FAILED, FAILED, SERVED])
 
+    def test_a_try_within_the_window_is_not_run_whatever_came_between(self) -> None:
+        """By a try with another body whose clock is ahead, and by one behind the window; the processor knows
+        neither, and both are read before the last."""
+        here, window = self.here, self.here.desk.kinds[KEYED].key_window
+        for ahead, moment in [(0.9, -0.5), (0.0, 0.1)]:
+            with self.subTest(ahead=ahead):
+                first, between, last = (f"{name} {ahead}" for name in ("first", "between", "last"))
+                key, end = f"{ahead:032}", here.now + window
+                here.hear(self.keyed(first, key=key))
+                here.hear(mail.Ended(first, Outcome.OK, b"made"))
+                here.run_until(end + moment)
+                here.hear(self.keyed(between, key=key, since=here.now + ahead, body=b"other"))
+                here.hear(mail.Refused(between, mail.Begin))
+                here.hear(self.keyed(last, key=key, since=end - 0.01))
+                self.assertNotIn(last, here.begun())
+                self.assertEqual([answer.body for answer in here.answers[last]], [b"made"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/thymeyoke/net/desk.py
+++ b/thymeyoke/net/desk.py
@@ -295,7 +295,8 @@
         marked = order.key if kind.repeat is Repeat.KEYED else order.subject if self.fresh else None
         key = (order.type, marked) if marked else None
         # Two tries in one batch know each other though the earlier is not retained yet.
-        first = self._first_try(key, order.since) if key else None
+        # By a clock that is ahead a try would lie behind the window of the run that it repeats.
+        first = self._first_try(key, min(order.since, now)) if key else None
         if first and order.key and not self._same_body(first, order):
             # All tries of one op carry the same body: this is none of it, and gets nothing of its result.
             log.counts["other_body"] += 1
--- a/thymeyoke/net/keys.py
+++ b/thymeyoke/net/keys.py
@@ -20,6 +20,7 @@
         self.mark = mark  # of its body, which all its tries carry
         self.result: Result | None = None
         self.waiting: list[str] = []  # emptied by the result
+        self.older: str | None = None  # the request whose key this one took over
 
     def names(self, reached: float) -> bool:
         """Whether a repeat that reached the machine then is one of this op's."""
@@ -42,6 +43,7 @@
         self.by_id: dict[str, Kept] = {}
 
     def find(self, key: Key, reached: float) -> str | None:
+        """A newer request names all tries that its older ones would: they get its result."""
         kept = self.by_key.get(key)
         return kept.id if kept and kept.names(reached) else None
 
@@ -50,7 +52,10 @@
         if kept := self.by_id.get(id):
             kept.end = end
             return
-        self.by_key[key] = self.by_id[id] = Kept(id, key, end, fresh, mark)
+        kept = Kept(id, key, end, fresh, mark)
+        if older := self.by_key.get(key):
+            kept.older = older.id
+        self.by_key[key] = self.by_id[id] = kept
 
     def forget(self, id: str) -> list[str]:
         """Drop an op's entry; hands back the repeats that waited for it."""
@@ -58,9 +63,18 @@
         if kept is None:
             return []
         if self.by_key.get(kept.key) is kept:
-            del self.by_key[kept.key]
+            self._hand_back(kept)
         return kept.waiting
 
+    def _hand_back(self, kept: Kept) -> None:
+        """The key of a request that is dropped goes back to the one before it: a late-read try of that one is
+        still none to be run."""
+        older = self.by_id.get(kept.older) if kept.older else None
+        if older is not None and older.key == kept.key:
+            self.by_key[kept.key] = older
+        else:
+            del self.by_key[kept.key]
+
     def over(self, id: str, result: Result) -> list[str]:
         """An op's run is over; hands back the repeats that waited for it."""
         kept = self.by_id.get(id)
