A request under the id of a repeat that has gone gets no result of another's run

Cause: a repeat that was taken back or ran out of time stays in the list of those that wait for the run (keys.py `waiting`), and desk.py `_release` looked at its id alone. A bad client that sends the id again in between was answered as served with the result of a run that is none of its own, and its own run lost its place. Change: `_release` answers only who repeats that very run. Test seen to fail without it ("[['acked'], ['acked']] != [['acked'], []]").

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -114,6 +114,17 @@
                 self.assertNotIn(last, here.begun())
                 self.assertEqual([answer.body for answer in here.answers[last]], [b"made"])
 
+    def test_the_id_of_a_repeat_that_has_gone_gets_no_result_of_its_run(self) -> None:
+        here = self.here
+        here.hear(self.keyed("1"))
+        here.hear(repeat := self.keyed("2"))
+        here.hear(mail.Gone("2", repeat.asker))
+        here.hear(here.arrive("2"))
+        here.hear(mail.Ended("1", Outcome.OK, b"made"))
+        self.assertEqual(here.verdicts(*"12"), [SERVED, []])
+        here.hear(mail.Ended("2", Outcome.OK, b"its own"))
+        self.assertEqual([answer.body for answer in here.answers["2"]], [b"its own"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/thymeyoke/net/desk.py
+++ b/thymeyoke/net/desk.py
@@ -361,13 +361,14 @@
         self._drop(slip)
         self._guarded(self.yoke.ended, now, id, outcome)
         result = Result(body if outcome is Outcome.OK else None, now)
-        self._release(now, self.keys.over(id, result), result)
+        self._release(now, id, self.keys.over(id, result), result)
 
-    def _release(self, now: float, repeats: list[str], result: Result) -> None:
-        """Answer repeats with the result that they waited for."""
+    def _release(self, now: float, of: str | None, repeats: list[str], result: Result) -> None:
+        """Answer repeats with the result that they waited for. One that ran out of time has gone, and a bad
+        client may have sent another request under its id since."""
         for id in repeats:
             slip = self.slips.get(id)
-            if slip is None or slip.answered or self.yoke is None:
+            if slip is None or slip.answered or slip.repeats != of or self.yoke is None:
                 continue
             ok = result.body is not None
             log.counts["repeats"] += 1
@@ -534,7 +535,7 @@
             case act.Reuse():
                 result = self.keys.repeat(id, slip.repeats)
                 if result is not None:
-                    self._release(now, [id], result)
+                    self._release(now, slip.repeats, [id], result)
             case act.Call(_, until):
                 slip.calling = True
                 slip.calls += 1
@@ -551,7 +552,7 @@
 
     def _forget(self, now: float, id: str) -> None:
         """It never ran: its repeats get nothing from it."""
-        self._release(now, self.keys.forget(id), Result(None, now))
+        self._release(now, id, self.keys.forget(id), Result(None, now))
 
     def _wake(self, now: float, wake: act.Wake) -> None:
         self.timer_count += 1
