A run whose begin is refused on a second link ends, and frees its core

Cause: a refusal has no number and is lost with its link; the command is then sent again, and desk.py `_refused` left the second refusal alone (`not slip.again`), to keep the key of what may have run. Nothing ever ended that request: it was failed when its time was over, and its place on the cores stayed taken for good. Change: it ends as moot, its tries fail, and its key is kept as failed, so that no try is run. Test: refused on two links, with one try waiting and one after it. Seen to fail without the change (a request left in hand, one core taken).

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -125,6 +125,18 @@
         here.hear(mail.Ended("2", Outcome.OK, b"its own"))
         self.assertEqual([answer.body for answer in here.answers["2"]], [b"its own"])
 
+    def test_a_run_refused_on_two_links_frees_its_core_and_not_its_key(self) -> None:
+        """The first refusal is lost with its link, as what has no number is."""
+        here = self.here
+        for event in (self.keyed("1"), self.keyed("2"), mail.Down(), mail.Synced(2)):
+            here.hear(event)
+        self.assertEqual(here.begun(), ["1", "1"])
+        here.hear(mail.Refused("1", mail.Begin))
+        self.assertEqual((here.desk.slips, here.desk.yoke.on_core), ({}, 0))
+        here.hear(self.keyed("3"))
+        self.assertEqual(here.begun(), ["1", "1"])
+        self.assertEqual(here.verdicts(*"123"), [FAILED] * 3)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/thymeyoke/net/desk.py
+++ b/thymeyoke/net/desk.py
@@ -387,13 +387,17 @@
 
     def _refused(self, now: float, id: str, command: type[Command] | None) -> None:
         """A run that the processor did not begin ends here, as one that never ran: its time tells nothing of
-        its op type, and its key is free for an op that can run. Refused otherwise, a run goes on or ended."""
+        its op type, and its key is free for an op that can run. Refused otherwise, a run goes on or ended.
+
+        Of a `begin` that went out on two links it is not proven that it never ran, and its key is kept: its
+        tries fail. Left as it was, nothing ever ended it, and it held its core for good."""
         log.counts["refused_commands"] += 1
         log.of_peer("command not carried out", id=id, command=command and command.__name__)
         slip = self.slips.get(id)
-        if slip and isinstance(slip.command, Begin) and command is Begin and not slip.again:
+        if slip and isinstance(slip.command, Begin) and command is Begin:
             self._ended(now, Ended(id, Outcome.MOOT, b""))
-            self._forget(now, id)
+            if not slip.again:
+                self._forget(now, id)
 
     def _leave(self, now: float, at: float) -> None:
         """`at`: when the notice came. All spans count from there, however late it is heard."""
