A notice that waits for a full mailbox is told though its link is given up

Cause: processor.py `_heard` counts a notice as read before `post` has told it. Where the dispatcher's mailbox is full the post waits, and a Move, a failed write or a full outbox cancels the link's scope: the notice was dropped, and the next link asks for those behind it only. Its request had no end. Change: the wait in mail.py `post` is shielded; it ends when the dispatcher takes its mail or has gone. Test with a mailbox of one; seen to fail without the change (the second notice never comes).

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,12 +6,15 @@
 from typing import Any
 from unittest import mock
 
+import anyio
+
 from standins.dispatcher import KEYED, START, SimulatedDispatcher
 from tests.server import told
 from thymeyoke import start
-from thymeyoke.net import mail
+from thymeyoke.net import mail, processor
 from thymeyoke.net.log import counts
 from thymeyoke.port.facts import Outcome
+from thymeyoke.start import Address
 
 NAMES = start.names(told()["settings"])
 SERVED, FAILED, REJECTED = ["acked"], ["failed"], ["nacked"]
@@ -138,5 +141,21 @@
         self.assertEqual(here.verdicts(*"123"), [FAILED] * 3)
 
 
+class Peers(unittest.IsolatedAsyncioTestCase):
+    async def test_what_waits_for_a_full_mailbox_is_told_though_its_link_is_given_up(self) -> None:
+        """A move to another address, or a write that fails, as the dispatcher is behind."""
+        inbox, events = anyio.create_memory_object_stream[mail.Event](1)
+        link = processor.Processor(Address("127.0.0.1", 1), NAMES, inbox)
+        notice = b'{"event":"complete","cursor":%d,"handle":"1","fate":"OK","lasted":1,"arg":""}'
+        with inbox, events, link.outbox, link.unsent:
+            async with anyio.create_task_group() as tasks:
+                await link._heard(notice % 1)
+                tasks.start_soon(link._heard, notice % 2)
+                await anyio.wait_all_tasks_blocked()
+                tasks.cancel_scope.cancel()
+                with anyio.CancelScope(shield=True), anyio.fail_after(5):
+                    self.assertEqual([(await events.receive()).id for _ in "12"], ["1", "1"])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/thymeyoke/net/mail.py
+++ b/thymeyoke/net/mail.py
@@ -283,9 +283,11 @@
 
 async def post(desk: MemoryObjectSendStream[Event], event: Event) -> None:
     """Tell the desk, unless it has gone home; wait only where its mailbox is full: a wait costs a turn of
-    the event loop."""
+    the event loop. A peer whose link is given up meanwhile still tells it: a notice counts as read already,
+    and no other link would bring it again."""
     with suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
         try:
             desk.send_nowait(event)
         except anyio.WouldBlock:
-            await desk.send(event)
+            with anyio.CancelScope(shield=True):
+                await desk.send(event)
