The list that was named last is reported to, however many were named

Cause: roster.py read its mailbox of four between reports alone. While a report hung, several reloads filled it, the last Move was dropped ("roster_outbox_full"), and the server reported to an older address until the next reload: not listed. Change: address and fitness hold as soon as they are told, and the mailbox only wakes the actor; a report goes out on a connection to the present address. Test: eight Moves and the drain's word while a report hangs. Seen to fail without the change (the last list hears nothing).

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -8,10 +8,11 @@
 
 import anyio
 
+from examples.standins import Roster
 from standins.dispatcher import KEYED, START, SimulatedDispatcher
 from tests.server import told
 from thymeyoke import start
-from thymeyoke.net import mail, processor
+from thymeyoke.net import mail, processor, roster
 from thymeyoke.net.log import counts
 from thymeyoke.port.facts import Outcome
 from thymeyoke.start import Address
@@ -156,6 +157,23 @@
                 with anyio.CancelScope(shield=True), anyio.fail_after(5):
                     self.assertEqual([(await events.receive()).id for _ in "12"], ["1", "1"])
 
+    async def test_the_list_that_was_named_last_is_reported_to(self) -> None:
+        """The start file is read anew several times, and the drain begins, while a report hangs."""
+        silent, last = Roster(status=0), Roster()
+        async with anyio.create_task_group() as tasks:
+            for listener in (silent, last):
+                await tasks.start(listener.run)
+            client = roster.Roster(Address("127.0.0.1", silent.port), "n")
+            with client.outbox, client.unsent:
+                tasks.start_soon(client.run)
+                await silent.until(lambda: silent.reports)
+                for port in (*range(1, 8), last.port):
+                    client.tell(mail.Move(Address("127.0.0.1", port)))
+                client.tell(mail.Report(False))
+                await last.until(lambda: last.reports)
+                self.assertEqual(last.reports[0], ("/ns/hosts/n", "no"))
+                tasks.cancel_scope.cancel()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/thymeyoke/net/roster.py
+++ b/thymeyoke/net/roster.py
@@ -41,15 +41,23 @@
     """Reports about once a second. A list that is away disturbs nothing else."""
 
     def __init__(self, where: Address, name: str, cold: ColdStart | None = None) -> None:
-        self.where, self.path, self.fit = where, f"/ns/hosts/{name}", True
+        self.where, self.path = where, f"/ns/hosts/{name}"
+        self.fit = self.reported_fit = True
         self.outbox, self.unsent = anyio.create_memory_object_stream[Report | Move](4)
         self.stream: ByteStream | None = None
+        self.connected_to = where
         self.http = h11.Connection(h11.CLIENT)
         self.cold = cold or ColdStart(clock())
         self.beat = self.cold.beats(clock(), PERIOD, TIMEOUT)
         self.said = self.cold.state
 
     def tell(self, what: Report | Move) -> None:
+        """It holds at once, and the mailbox only wakes the actor: while a report hung, several reloads once
+        filled it, and the last address was never reported to."""
+        if isinstance(what, Move):
+            self.where = what.where
+        else:
+            self.fit = what.fit
         try:
             self.outbox.send_nowait(what)
         except anyio.WouldBlock:
@@ -69,7 +77,7 @@
                 self._tell_state()
                 continue
             with anyio.move_on_after(max(0.0, self.beat.moment - clock())) as wait:
-                await self._heard(await self.unsent.receive())
+                self._heard(await self.unsent.receive())
             if wait.cancelled_caught and clock() < self.beat.moment:  # it stands still: it never steps back
                 self.beat.at_once(clock())
 
@@ -95,16 +103,10 @@
             self.said = self.cold.state
             log.say(logging.INFO, "cold start", state=self.said.value)
 
-    async def _heard(self, what: Report | Move) -> None:
+    def _heard(self, what: Report | Move) -> None:
         """What is new is said at once: whether it is fit, or where it is said."""
-        if isinstance(what, Report):
-            if what.fit != self.fit:
-                self.beat.at_once(clock())
-            self.fit = what.fit
-        else:
-            self.where = what.where
+        if isinstance(what, Move) or self.fit != self.reported_fit:
             self.beat.at_once(clock())
-            await self._close()
 
     async def _close(self) -> None:
         if self.stream:
@@ -112,9 +114,13 @@
             await anyio.aclose_forcefully(stream)
 
     async def _report(self) -> None:
+        if self.connected_to != self.where:
+            await self._close()
         if self.stream is None:
+            self.connected_to = self.where
             self.stream = await anyio.connect_tcp(self.where.host, self.where.port)
             self.http = h11.Connection(h11.CLIENT)
+        self.reported_fit = self.fit
         body = orjson.dumps({"serving": "yes" if self.fit else "no"})
         headers = [("Host", str(self.where)), ("Content-Length", str(len(body)))]
         ask = h11.Request(method="PUT", target=self.path, headers=headers)
