A server's name is quoted where the list is told it

Cause: roster.py put the name into the request line as it is. One with a space or a letter beyond ASCII was refused by the HTTP library on every report: such a server was up, and never listed. Change: the name is percent-encoded; `n3` stays `n3`. The test of the list has such a name now, and was seen to fail without the change.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -158,12 +158,13 @@
                     self.assertEqual([(await events.receive()).id for _ in "12"], ["1", "1"])
 
     async def test_the_list_that_was_named_last_is_reported_to(self) -> None:
-        """The start file is read anew several times, and the drain begins, while a report hangs."""
+        """The start file is read anew several times, and the drain begins, while a report hangs; the server's
+        name has a space."""
         silent, last = Roster(status=0), Roster()
         async with anyio.create_task_group() as tasks:
             for listener in (silent, last):
                 await tasks.start(listener.run)
-            client = roster.Roster(Address("127.0.0.1", silent.port), "n")
+            client = roster.Roster(Address("127.0.0.1", silent.port), "n 3")
             with client.outbox, client.unsent:
                 tasks.start_soon(client.run)
                 await silent.until(lambda: silent.reports)
@@ -171,7 +172,7 @@
                     client.tell(mail.Move(Address("127.0.0.1", port)))
                 client.tell(mail.Report(False))
                 await last.until(lambda: last.reports)
-                self.assertEqual(last.reports[0], ("/ns/hosts/n", "no"))
+                self.assertEqual(last.reports[0], ("/ns/hosts/n%203", "no"))
                 tasks.cancel_scope.cancel()
 
 
--- a/thymeyoke/net/roster.py
+++ b/thymeyoke/net/roster.py
@@ -7,6 +7,7 @@
 
 import logging
 from time import process_time
+from urllib.parse import quote
 
 import anyio
 import h11
@@ -41,7 +42,7 @@
     """Reports about once a second. A list that is away disturbs nothing else."""
 
     def __init__(self, where: Address, name: str, cold: ColdStart | None = None) -> None:
-        self.where, self.path = where, f"/ns/hosts/{name}"
+        self.where, self.path = where, f"/ns/hosts/{quote(name, safe='')}"
         self.fit = self.reported_fit = True
         self.outbox, self.unsent = anyio.create_memory_object_stream[Report | Move](4)
         self.stream: ByteStream | None = None
