A link that is made while its address moves is given up

Cause: processor.py `run`: a Move cancels the scope of the present link, and while the next one was being connected there was none: the connect to the old address went on, and the link lived there until that address was closed. Commands wait for as long. Change: a connect that ends at another address than the present one is closed, and made anew. Test: the address moves in the middle of the connect. Seen to fail without the change (the new address hears nothing).

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from examples.standins import Roster
+from examples.standins import Processor, Roster
 from standins.dispatcher import KEYED, START, SimulatedDispatcher
 from tests.server import told
 from thymeyoke import start
@@ -157,6 +157,27 @@
                 with anyio.CancelScope(shield=True), anyio.fail_after(5):
                     self.assertEqual([(await events.receive()).id for _ in "12"], ["1", "1"])
 
+    async def test_a_link_that_is_made_as_its_address_moves_is_given_up(self) -> None:
+        old, new, connect = Processor(), Processor(), anyio.connect_tcp
+        inbox, events = anyio.create_memory_object_stream[mail.Event](9)
+        async with anyio.create_task_group() as tasks:
+            for listener in (old, new):
+                await tasks.start(listener.run)
+            link = processor.Processor(Address("127.0.0.1", old.port), NAMES, inbox)
+
+            async def moved_meanwhile(*where: Any) -> Any:
+                stream = await connect(*where)
+                if where[1] == old.port:
+                    link.tell(mail.Move(Address("127.0.0.1", new.port)))
+                return stream
+
+            with inbox, events, link.outbox, link.unsent:
+                with mock.patch.object(anyio, "connect_tcp", moved_meanwhile):
+                    tasks.start_soon(link.run)
+                    await new.until(lambda: new.heard)
+                tasks.cancel_scope.cancel()
+        self.assertEqual(old.heard, [])
+
     async def test_the_list_that_was_named_last_is_reported_to(self) -> None:
         """The start file is read anew several times, and the drain begins, while a report hangs; the server's
         name has a space."""
--- a/thymeyoke/net/processor.py
+++ b/thymeyoke/net/processor.py
@@ -128,12 +128,16 @@
 
     async def run(self) -> None:
         while True:
+            where = self.where
             try:
                 with anyio.fail_after(1.0):
-                    stream = await anyio.connect_tcp(self.where.host, self.where.port)
+                    stream = await anyio.connect_tcp(where.host, where.port)
             except (OSError, TimeoutError):
                 await self._rest(self.tries.refused(clock()))
                 continue
+            if where != self.where:  # moved while it connected: the old address takes no commands for long
+                await anyio.aclose_forcefully(stream)
+                continue
             self.tries.taken(clock())
             self.link += 1
             try:
