No call goes out at an address of the database that was moved away from

Change: connections to other addresses count for none. Test seen to fail without the change (the new address is asked nothing).

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
+import time
 import unittest
 from typing import Any
 from unittest import mock
 
 import anyio
 
-from examples.standins import Processor, Roster
+from examples.standins import Database, Processor, Roster
 from standins.dispatcher import KEYED, START, SimulatedDispatcher
 from tests.server import told
 from thymeyoke import start
-from thymeyoke.net import mail, processor, roster
+from thymeyoke.net import database, mail, processor, roster
 from thymeyoke.net.log import counts
 from thymeyoke.port.facts import Outcome
 from thymeyoke.start import Address
@@ -196,6 +197,25 @@
                 self.assertEqual(last.reports[0], ("/ns/hosts/n%203", "no"))
                 tasks.cancel_scope.cancel()
 
+    async def test_no_call_goes_to_the_database_that_was_moved_away_from(self) -> None:
+        """With the most connections busy at the old address; they end by themselves."""
+        old, new = Database(None), Database()
+        inbox, events = anyio.create_memory_object_stream[mail.Event](9)
+        async with anyio.create_task_group() as tasks:
+            for listener in (old, new):
+                await tasks.start(listener.run)
+            client = database.Database(Address("127.0.0.1", old.port), inbox)
+            with inbox, events, client.outbox, client.unsent, mock.patch.object(database, "MOST", 2):
+                tasks.start_soon(client.run)
+                for id in "12":
+                    client.tell(mail.Call(id, time.time() + 30, b""))
+                await old.until(lambda: len(old.heard) == 2)
+                client.tell(mail.Move(Address("127.0.0.1", new.port)))
+                client.tell(mail.Call("3", time.time() + 30, b""))
+                await new.until(lambda: new.heard)
+                self.assertEqual((await events.receive()).outcome, Outcome.OK)
+                tasks.cancel_scope.cancel()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/thymeyoke/net/database.py
+++ b/thymeyoke/net/database.py
@@ -324,14 +324,16 @@
         heappush(self.ends, (what.until, what.id))
 
     def _line(self, id: str, now: float) -> Line | None:
-        """The idle connection that was used last, else a new one; at the most of them, the least busy."""
+        """The idle connection that was used last, else a new one; at the most of them, the least busy. Those
+        to an address before count for none: the database takes nothing new there, and closes them soon."""
         fit = [line for line in self.lines if line.takes(id, self.where)]
         idle = [line for line in fit if not line.out and now <= line.used + IDLE]
         if idle:
             return max(idle, key=lambda line: line.used)
-        if len(self.lines) < MOST:
+        here = [line for line in self.lines if line.where == self.where]
+        if len(here) < MOST:
             return None
-        return min(fit or self.lines, key=lambda line: len(line.out))
+        return min(fit or here, key=lambda line: len(line.out))
 
     def _open(self, tasks: TaskGroup) -> Line:
         assert self.where is not None
