Retained results can take a bounded part of the process's own memory

Need: retained results were bounded by the processor's memory alone (choice.py `_room`, keys * kb_per_key), which a site may leave at next to nothing, and which is not this process's. Change: `Keys` takes a bound in bytes; past it the bodies of the oldest results go, counted as results_dropped, and their keys stay: a repeat fails, and none is run. Without a bound, as until the start file's limit is handed on, all is as before. Test seen to fail without the change.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -142,6 +142,18 @@
         self.assertEqual(here.begun(), ["1", "1"])
         self.assertEqual(here.verdicts(*"123"), [FAILED] * 3)
 
+    def test_results_past_the_memory_for_them_are_dropped_and_their_keys_kept(self) -> None:
+        here, keys = self.here, [f"{at:032}" for at in range(3)]
+        here.desk.keys.most_bytes = 8192
+        for key in keys:
+            here.hear(self.keyed(key, key=key))
+            here.hear(mail.Ended(key, Outcome.OK, bytes(4096)))
+        here.hear(*(self.keyed(f"again {key}", key=key) for key in keys))
+        self.assertEqual(here.begun(), keys)
+        self.assertEqual(here.verdicts(*(f"again {key}" for key in keys)), [FAILED, SERVED, SERVED])
+        here.run_until(here.now + 60)
+        self.assertEqual((here.desk.keys.bytes, len(here.desk.keys.with_body)), (0, 0))
+
 
 class Peers(unittest.IsolatedAsyncioTestCase):
     async def test_what_waits_for_a_full_mailbox_is_told_though_its_link_is_given_up(self) -> None:
--- a/thymeyoke/net/desk.py
+++ b/thymeyoke/net/desk.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Callable
 from heapq import heappop, heappush
 from typing import Any, NamedTuple
@@ -122,7 +123,8 @@
 
 
 class Desk:
-    def __init__(self, stop: float, given: dict[str, Any]) -> None:
+    def __init__(self, stop: float, given: dict[str, Any], results_limit: float = math.inf) -> None:
+        """`results_limit`: the bytes that retained results may take of this process's own memory."""
         self.stop, self.given = stop, given
         self.kinds: tuple[facts.OpType, ...] = given["op_types"]
         duty: facts.Duty = given["duty"]
@@ -135,7 +137,7 @@
         self.yoke: Choice | None = None  # from when the processor is up
         self.slips: dict[str, Slip] = {}  # emptied as ops are answered and over
         self.unanswered = 0
-        self.keys = Keys(max(kind.timeout for kind in self.kinds))
+        self.keys = Keys(max(kind.timeout for kind in self.kinds), results_limit)
         self.fresh_keys: dict[Key, str] = {}  # of this batch; emptied by its settle
         self.timers: list[tuple[float, int, int | None]] = []  # wakes; gauges where no mark; emptied in time
         self.timer_count = 0
--- a/thymeyoke/net/keys.py
+++ b/thymeyoke/net/keys.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import math
+from collections import OrderedDict
 from typing import Any, NamedTuple
 
+from thymeyoke.net import log
+
 Key = tuple[int, str]  # an op type and what marks its repeats
 
 
@@ -34,11 +38,14 @@
     """`by_key` and `by_id` are emptied by `purge` as spans pass, and by `forget`.
 
     Entries outlive their span by `unread`, the longest that an op can wait to be read: a repeat counts by
-    when it reached the machine.
+    when it reached the machine. Results take `most_bytes` in all; past that the bodies of the oldest go and
+    their keys stay: their repeats fail, and none is run.
     """
 
-    def __init__(self, unread: float) -> None:
+    def __init__(self, unread: float, most_bytes: float = math.inf) -> None:
         self.unread, self.next_purge = unread, 0.0
+        self.most_bytes, self.bytes = most_bytes, 0
+        self.with_body: OrderedDict[str, None] = OrderedDict()  # by when the results came
         self.by_key: dict[Key, Kept] = {}
         self.by_id: dict[str, Kept] = {}
 
@@ -62,6 +69,7 @@
         kept = self.by_id.pop(id, None)
         if kept is None:
             return []
+        self._drop_body(kept)
         if self.by_key.get(kept.key) is kept:
             self._hand_back(kept)
         return kept.waiting
@@ -81,8 +89,20 @@
         if kept is None:
             return []
         kept.result, waiting, kept.waiting = result, kept.waiting, []
+        if result.body:
+            self.with_body[id] = None
+            self.bytes += len(result.body)
+        while self.bytes > self.most_bytes:
+            log.counts["results_dropped"] += 1
+            self._drop_body(self.by_id[next(iter(self.with_body))])
         return waiting
 
+    def _drop_body(self, kept: Kept) -> None:
+        if kept.id in self.with_body and kept.result and kept.result.body:
+            del self.with_body[kept.id]
+            self.bytes -= len(kept.result.body)
+            kept.result = kept.result._replace(body=None)
+
     def repeat(self, id: str, of: Any) -> Result | None:
         """The result for a repeat, or None where it has to wait. Of an op that is unknown nothing came."""
         kept = self.by_id.get(of)
