The test of a reader that stalls has a real socket that takes nothing more

Need: a connection reads and writes its socket itself now, and a mocked stream stands for nothing of it. The test is as strict: the peer's buffer is full, the mailbox runs over, and the connection alone is closed and counted.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -5,6 +5,7 @@
 import logging
 import os
 import signal
+import socket
 import tempfile
 import time
 import unittest
@@ -775,23 +776,15 @@
     async def test_a_reader_that_stalls_is_closed_alone(self) -> None:
         inbox, events = anyio.create_memory_object_stream[mail.Event](8)
 
-        class Stalled:
-            async def send(self, data: bytes) -> None:
-                await anyio.sleep_forever()
-
-            async def receive(self, most: int) -> bytes:
-                await anyio.sleep_forever()
-                return b""
-
-            async def aclose(self) -> None:
-                pass
-
-        connection = front.Connection(mock.Mock(), NAMES, inbox)
-        stalled = mock.AsyncMock(return_value=Stalled())
-        with anyio.fail_after(20), mock.patch.object(front.SocketStream, "from_socket", stalled):
+        ours, theirs = socket.socketpair()
+        ours.setblocking(False)
+        connection = front.Connection(ours, NAMES, inbox)
+        with theirs, anyio.fail_after(20):
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(connection.run)
-                for _ in range(2 * front.OUTBOX + 2):
+                connection.tell(mail.Answer(1, mail.Verdict.ACK, bytes(1 << 23)))
+                await until(lambda: connection.rest)
+                for _ in range(front.OUTBOX + 1):
                     connection.tell(mail.Answer(1, mail.Verdict.ACK))
         self.assertGreater(log.counts["outbox_full"], 0)
         inbox.close()
