The dispatcher asks the policy whether a request repeats another, in place of reading its insides

Need: which of several tries in one batch is the first one depends on what the policy wants of each; the dispatcher read its table of requests and its enumeration for it. Change: `Choice.repeats(id)`. No decision changes. tests.test_crossings (the four tries of one batch) and the design rows pass.

--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -288,6 +288,11 @@
             self.keys[job.id] = now + job.keep_span
         return self._wish(job, Want.STAY)
 
+    def repeats(self, id: Any) -> bool:
+        """Whether a request in hand is to be answered with the result of its first try."""
+        job = self.jobs.get(id)
+        return job is not None and job.want is Want.REUSE
+
     def ended(self, now: float, id: Any, outcome: Outcome) -> None:
         if job := self.jobs.get(id):
             was = job.at
--- a/thymeyoke/net/desk.py
+++ b/thymeyoke/net/desk.py
@@ -14,7 +14,7 @@
 
 import anyio
 
-from thymeyoke.choice import Choice, Want
+from thymeyoke.choice import Choice
 from thymeyoke.net import log
 from thymeyoke.net.behind import Behind, Ear
 from thymeyoke.net.clock import clock
@@ -329,8 +329,8 @@
     def _runs_for(self, first: str | None, id: str) -> str:
         """Which request the next try of its key in this batch repeats. One whose first try is turned away is
         a first try itself: the next one once took itself for that as well, and both were run."""
-        job = self.yoke.jobs.get(id) if self.yoke else None
-        return first if first and job and job.want is Want.REUSE else id
+        repeats = first is not None and self.yoke is not None and self.yoke.repeats(id)
+        return first if first is not None and repeats else id
 
     def _same_body(self, first: str, order: Order) -> bool:
         kept = self.keys.by_id.get(first)
