--- a/standins/processes.py
+++ b/standins/processes.py
@@ -17,6 +17,8 @@
 import time
 from collections.abc import AsyncIterator, Callable, Iterable, Sequence
 from contextlib import asynccontextmanager, suppress
+from functools import reduce
+from operator import getitem
 from pathlib import Path
 from random import Random
 from typing import Any, NamedTuple
@@ -199,6 +201,11 @@
         self.counted = len(self.reports)
         super()._changes()
 
+    def last(self, name: str) -> float:
+        """The moment of an app server's last report; 0 before its first."""
+        rows = zip(self.reports, self.moments, strict=False)
+        return max((at for (path, _), at in rows if path == f"/ns/hosts/{name}"), default=0.0)
+
 
 def peak(moments: Iterable[float], span: float = 0.1) -> float:
     """The most a second, over any window of `span` seconds that begins with one of the moments."""
@@ -220,6 +227,7 @@
         self.processor = Named(self.name, span=0.005, calls=0, cores=8)
         self.contract: dict[str, Any] = {}
         self.says = self.name  # a drill may have it say another's
+        self.changes: dict[str, Any] = {}  # of its start file; `a__b` is `b` in `a`
 
     def files(self) -> list[str]:
         """Its start file and operators' file, written; the arguments that name them."""
@@ -240,8 +248,13 @@
         for row in settings["request_classes"]:
             if "memory_span_us" in row:
                 row["memory_span_us"] = int(drill.window * 1e6)
+        for path, value in self.changes.items():
+            *outer, last = path.split("__")
+            reduce(getitem, outer, told)[last] = value
         config, orders = (self.folder / f"{self.name}.{end}" for end in ("json", "ini"))
         config.write_bytes(orjson.dumps(told))
+        if not drill.operators_file:
+            return ["--config", str(config)]
         orders.write_text("\n".join(drill.members_lines(self)) + "\n")
         return ["--config", str(config), "--orders", str(orders)]
 
@@ -300,15 +313,16 @@
     """App servers s1, s2, ... and nodes node-1, node-2, ..., those that come `later` among them: each has its
     addresses from the start. `linger` is that of the nodes' seats, `window` that of keyed ops; `ahead`:
     seconds that processes' clocks are; `linked`: kinds of ways that have links (LINKED), the others are as
-    they are; `root`: where the program is."""
+    they are; `root`: where the program is; without an `operators_file` app servers have none, as the platform
+    runs them."""
 
     def __init__(
         self, seed: int, servers: int = 3, nodes: int = 2, tenants: Sequence[str] = ("north",),
         linger: float = 1.2, window: float = 1.0, period: float = 0.3, later: Iterable[str] = (),
         moves: dict[str, Any] | None = None, announce: bool = False, ahead: dict[str, float] | None = None,
-        linked: Iterable[str] = ("members",), root: Path = PROGRAM,
+        linked: Iterable[str] = ("members",), root: Path = PROGRAM, operators_file: bool = True,
     ) -> None:  # fmt: skip
-        self.seed, self.rng, self.root = seed, Random(seed), root
+        self.seed, self.rng, self.root, self.operators_file = seed, Random(seed), root, operators_file
         self.tenants, self.linger, self.window, self.period = tuple(tenants), linger, window, period
         self.moves, self.later, self.linked = moves, frozenset(later), frozenset(linked)
         assert self.linked <= set(LINKED), linked
