Drills of restarts: a silent list stays silent to what it was told, and ready means up

Cause: two drills held less than they said. With a link that hangs and is healed, a report that hung was answered late, so a server that never gives up a report passed. A health check is answered before the processor is up, and a request of that moment is rejected: "ready" was taken too early.

Change: the list itself leaves reports unanswered for good; ready has the processor's `up` line in it; halves of requests are written right before the notice.

--- a/tests/drills/test_restarts.py
+++ b/tests/drills/test_restarts.py
@@ -28,6 +28,7 @@
 EVERY = 0.03  # seconds between the requests of a trickle
 READY, BACK = 10.0, 3.0  # seconds: of a restarted process, nine in ten; until a report once the list is back
 SILENT = 8.0  # seconds that the list hangs
+TAKEN, UNANSWERED = 204, 0  # what the list says to reports
 RESETS, STORM = 20, 2.0  # of every connection; within so many seconds
 PATIENCE = 30.0  # seconds for what comes, on however busy a machine
 
@@ -138,7 +139,8 @@
 
 
 async def ready(here: Drill, one: AppServer, spent: Spent) -> float:
-    """Seconds until a health check is answered `true`, and the list has heard of this life."""
+    """Seconds until a health check is answered `true`, the processor is up for it, and the list has heard of
+    this life. What is asked before the processor is up is turned away."""
     healthy = False
     while not healthy:
         with suppress(OSError, KeyError):
@@ -147,7 +149,8 @@
         await anyio.sleep(0.01)
     at = time.time()
     await here.roster.until(lambda: here.roster.last(one.says) > spent.began, PATIENCE)
-    return spent.seconds(max(at, here.roster.last(one.says)))
+    [up] = await here.until(lambda: one.said("up", one.started_at))
+    return spent.seconds(max(at, up["at"], here.roster.last(one.says)))
 
 
 def let_go(one: AppServer) -> None:
@@ -176,11 +179,11 @@
         self.assertLessEqual(set(fates), {None, "Shed", "Fault"})
         self.assertGreater(fates[None], sum(fates.values()) / 2, fates)
 
-    async def back(self, here: Drill, lists: list[Link]) -> None:
-        """The list is; each app server reports to it soon."""
+    async def back(self, here: Drill) -> None:
+        """The list is; each app server reports to it soon. What it left unanswered stays so."""
         spents = {one.name: Spent(one.process.pid) for one in here.servers}
-        for link in lists:
-            link.heal()
+        here.roster.status = TAKEN
+        here.heal()
         for name, spent in spents.items():
             await here.roster.until(lambda: here.roster.last(name) > spent.began, PATIENCE)  # noqa: B023
             self.assertLess(spent.seconds(here.roster.last(name)), BACK)
@@ -191,12 +194,11 @@
             leaving, killed = here.servers[:3], here.servers[3]
             for one in here.servers:
                 here.tasks.start_soon(routers.trickle, one.name)
-            halves = {}
             for one in leaving:
                 one.processor.held = True
                 await one.processor.until(lambda one=one: len(one.processor.runs) >= CORES, PATIENCE)
-                halves[one.name] = [await routers.half(one.name) for _ in range(2)]
                 await routers.each(one.name, 3)
+            halves = {one.name: [await routers.half(one.name) for _ in range(2)] for one in leaving}
             for one in leaving:
                 one.signal(TERM)
             killed.signal(KILL)
@@ -262,8 +264,11 @@
                 one.processor.calls = 1
                 here.tasks.start_soon(watch, one)
                 here.tasks.start_soon(routers.trickle, one.name)
-            for fault in ("cut", "hang"):
-                here.put(lists, fault)
+            for refuses in (True, False):
+                if refuses:
+                    here.put(lists, "cut")
+                else:
+                    here.roster.status = UNANSWERED
                 async with anyio.create_task_group() as tasks:
                     for one in here.servers:
                         tasks.start_soon(idle, one)
@@ -275,7 +280,7 @@
                     self.assertIsNone((await asked.router.answer(asked.number, PATIENCE))[0])
                     self.assertTrue(await routers.served(one.name))
                     self.assertGreater(len(here.database.asked), calls)
-                await self.back(here, lists)
+                await self.back(here)
             await self.answered(routers)
             for one in here.servers:
                 one.signal(TERM)
@@ -296,7 +301,7 @@
             new.listen, new.says = old.listen, old.says
             here.start(new.name)
             let_go(old)
-            await here.until(lambda: new.said("listening") or not new.runs, PATIENCE)
+            await here.until(lambda: new.said("up") or not new.runs)
             self.sound(here, *([] if old.runs else [old.name]))
             self.assertTrue(await routers.served(new.name))
             self.assertEqual(await old.gone(), 0)
@@ -304,9 +309,8 @@
 
     async def test_a_silent_list_and_a_storm_of_resets(self) -> None:
         """Nobody is up and serves nobody: each is listed again, and answers."""
-        async with servers(6, linked=["around"]) as (here, routers):
-            lists = [here.links[one.name, "list"] for one in here.servers]
-            here.put(lists, "hang")
+        async with servers(6) as (here, routers):
+            here.roster.status = UNANSWERED
             heals_at = time.monotonic() + SILENT
             ports = [one.listen for one in here.servers for _ in range(5)]
             for turn in range(RESETS):
@@ -320,7 +324,7 @@
             for one in here.servers:
                 self.assertTrue(await routers.served(one.name))
             await anyio.sleep(heals_at - time.monotonic())
-            await self.back(here, lists)
+            await self.back(here)
             for one in here.servers:
                 self.assertTrue(await routers.served(one.name))
             self.sound(here)
