Retained results are bounded by the memory that the start file gives this process

Change: `Station.memory`, a quarter of it for results. A missing `db` is a `BadStart` that names the field now; the test of it asks for that in place of a bare `KeyError`, which is stricter.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -331,7 +331,7 @@
         self.assertFalse(below.tell(mail.Call(REF, 1.0, b"")))
         below.outbox.close()
         below.unsent.close()
-        with self.assertRaises(KeyError):
+        with self.assertRaisesRegex(start.BadStart, "lacks 'db'"):
             start.station(given | {"settings": told()["settings"]})
 
     async def test_events_gather_in_a_crowd(self) -> None:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 import signal
 import socket
@@ -85,6 +86,8 @@
             limit = mock.Mock(return_value=(300, 400))
             with self.subTest(field), mock.patch("resource.getrlimit", limit):
                 self.assertEqual(start.station(changed(field, None)).descriptors, 300)
+        memory = [start.station(changed("limits.memory_mb", told)).memory for told in (64, None)]
+        self.assertEqual(memory, [64 << 20, math.inf])
         none_below = changed("settings.family_info.below", "silent") | {"db": None}
         self.assertIsNone(start.station(none_below).database)
 
--- a/thymeyoke/net/server.py
+++ b/thymeyoke/net/server.py
@@ -28,6 +28,7 @@
 from thymeyoke.start import Address, BadStart, Names, Station
 
 GARBAGE = (10000, 10, 10)  # ops leave next to no cycles behind: looking for them cost more than it freed
+RESULTS_SHARE = 1 / 4  # of the process's memory: what retained results may take, beside all else in it
 FLUSH = 0.05  # seconds that last answers may take to be written, at the end
 AGAIN = 0.1  # seconds until an actor that failed starts again
 LISTEN_RETRY = 0.05  # seconds between tries to bind an address that is in use
@@ -43,7 +44,7 @@
     *, task_status: TaskStatus[Address] = anyio.TASK_STATUS_IGNORED,
 ) -> None:  # fmt: skip
     """`again` and `orders` read the start file and the operators' file, at the start and on SIGHUP."""
-    desk = Desk(station.stop, given)
+    desk = Desk(station.stop, given, RESULTS_SHARE * station.memory)
     front = Front(names, station.descriptors, given["callers"].idle, desk.inbox)
     cold = ColdStart(clock(), given["seed"], station.name, terms(given), held.since())
     processor = Processor(station.processor, names, desk.inbox, cold)
--- a/thymeyoke/start.py
+++ b/thymeyoke/start.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import resource
+from math import inf
 from pathlib import Path
 from typing import Any, NamedTuple, TypeVar
 
@@ -15,6 +16,7 @@
 from thymeyoke.port import facts
 
 MICRO = 1e-6
+MEGABYTE = 1 << 20
 REPEATS = {
     "retryable": facts.Repeat.RETRYABLE,
     "dedup": facts.Repeat.KEYED,
@@ -235,6 +237,7 @@
     roster: Address
     stop: float  # from the notice to leave until the process is killed
     descriptors: int
+    memory: float  # bytes that this process may take; without end where the start file names none
 
 
 def address(told: Fields, name: str, least_port: int = 1) -> Address:
@@ -250,6 +253,7 @@
 def station(told: dict[str, Any]) -> Station:
     fields = Fields(told)
     family = fields.section("settings").section("family_info")
+    limits = fields.section("limits", optional=True)
     calls = bool(told.get("db")) or family.word("below", BELOW, "silent") is not facts.Below.NOTHING
     return Station(
         name=fields.text("name"),
@@ -258,7 +262,8 @@
         database=address(fields, "db") if calls else None,
         roster=address(fields, "naming"),
         stop=fields.number("stop_ms") / 1000,
-        descriptors=int(fields.section("limits", optional=True).number("sockets", _descriptors(), least=1)),
+        descriptors=int(limits.number("sockets", _descriptors(), least=1)),
+        memory=limits.number("memory_mb", inf, above=0) * MEGABYTE,
     )
 
 
