A connection's socket stays registered while it is read, in place of once for each read

Need: since a connection reads its socket itself, `anyio.wait_readable` registered it with the event loop anew for each read. Change: `net/receiver.py` keeps the registration for as long as the socket is read and holds one chunk at most, which `quiet` sees.

--- a/thymeyoke/net/front.py
+++ b/thymeyoke/net/front.py
@@ -29,6 +29,7 @@
     post,
     waiting,
 )
+from thymeyoke.net.receiver import Receiver
 from thymeyoke.start import Address, Names
 
 OPEN_OPS = 32  # of one connection
@@ -48,13 +49,14 @@
 class Connection:
     """One router connection. `open` is emptied by answers, cancels and the connection's end.
 
-    It reads and writes its socket without a buffer of its own on the way in: bytes are either unread in the
-    socket, where `quiet` sees them, or have become messages that are taken in the same step. With a stream's
-    buffer between the two, a connection once looked unused while a request stood in that buffer.
+    It reads and writes its socket itself: bytes are unread in the socket or in the receiver, where `quiet`
+    sees them, or have become messages that are taken in the same step. With a stream's buffer between the
+    two, a connection once looked unused while a request stood in that buffer.
     """
 
     def __init__(self, accepted: socket.socket, names: Names, desk: MemoryObjectSendStream[Event]) -> None:
         self.accepted, self.desk, self.reader = accepted, desk, rpc.Reader(names)
+        self.receiver = Receiver(accepted)
         self.open: dict[int, str | None] = {}  # requests' ids by number, None for a health check
         self.outbox, self.unsent = anyio.create_memory_object_stream[Telling | None](OUTBOX)
         self.scope = anyio.CancelScope()
@@ -96,6 +98,7 @@
         """End it at once: its descriptor is free when this returns, and what may still cross the close is not
         waited for. Closed by their tasks, two turns later, up to three times ACCEPTS were held beside it."""
         self.scope.cancel()
+        self.receiver.stop()
         self._shut()
         self._drained()
         anyio.notify_closing(self.accepted)
@@ -114,6 +117,7 @@
         then the socket is closed. A close over unread bytes is a reset, and a request that is read once no
         answer can be written must not be handed on."""
         lost, self.open = [id for id in self.open.values() if id], {}
+        self.receiver.stop()
         self._shut()
         self.unsent.close()
         self.outbox.close()
@@ -144,6 +148,8 @@
     def quiet(self) -> bool:
         """Whether nothing stands unread on it. An op that was written before the close is lost with it, and a
         server that is behind with its reading has not heard of it yet."""
+        if not self.receiver.empty:
+            return False
         if self.accepted.fileno() < 0:
             return True
         look = select.poll()
@@ -152,26 +158,18 @@
 
     async def _read(self) -> None:
         try:
-            while data := await self._receive():
+            while data := await self.receiver.take():
                 self.used = clock()
                 await self._feed(data)
             self.ended = True  # only its sending half: what is open may still be answered
             self.tell(None)
-        except (OSError, anyio.ClosedResourceError):
+        except OSError:
             self.scope.cancel()
         except rpc.BadFrame as error:
             log.counts["bad_frame"] += 1
             log.of_peer("connection closed", why=str(error))
             self.scope.cancel()
 
-    async def _receive(self) -> bytes:
-        while True:
-            if self.accepted.fileno() < 0:  # evicted before its task began
-                raise anyio.ClosedResourceError
-            await anyio.wait_readable(self.accepted)
-            with suppress(BlockingIOError):
-                return self.accepted.recv(rpc.CHUNK)
-
     async def _feed(self, data: bytes) -> None:
         messages = self.reader.feed(data)
         self.taking = True
