Fault-injection tests: the routers of a drill are a fake of their own

Need: what asks several app servers and keeps all answers stood in one test file; others can use it, and tests are to be few. Change: `standins/routers.py`, told the request classes and which of them are keyed. No check changes.

--- a/tests/drills/test_restarts.py
+++ b/tests/drills/test_restarts.py
@@ -3,7 +3,6 @@
 
 from __future__ import annotations
 
-import itertools
 import resource
 import time
 import unittest
@@ -11,13 +10,14 @@
 from collections.abc import AsyncIterator, Collection
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any
 
 import anyio
 
-from examples.standins import LOST, Router
+from examples.standins import Router
 from standins.link import Link
 from standins.processes import AGAIN, KILL, TERM, AppServer, Drill, Named, Spent, drill
+from standins.routers import PATIENCE, Routers
 from tests.drills.play import Drills
 
 EFFECTS = {"look": "retryable", "buy": "dedup", "send": "fragile"}  # by class
@@ -25,14 +25,10 @@
 CORES = 2  # of each processor, by the settings: what comes beyond is held
 SOCKETS = 128
 IDLE = 200  # silent connections to each app server, and as many that rest after a health check
-OPEN = 32  # requests of one connection, as the protocol has it
-SPARE = 12  # of them, for what is asked beside a trickle
-EVERY = 0.03  # seconds between the requests of a trickle
 READY, BACK = 10.0, 3.0  # seconds: of a restarted process, nine in ten; until a report once the list is back
 SILENT = 8.0  # seconds that the list hangs
 TAKEN, UNANSWERED = 204, 0  # what the list says to reports
 RESETS, STORM = 20, 2.0  # of every connection; within so many seconds
-PATIENCE = 30.0  # seconds for what comes, on however busy a machine
 
 
 def changes() -> dict[str, Any]:
@@ -46,78 +42,6 @@
     }
 
 
-class Asked(NamedTuple):
-    router: Router
-    number: int
-    body: bytes
-
-
-class Routers:
-    """Routers' connections, one to each app server at a time, and all that was asked on them."""
-
-    def __init__(self, here: Drill) -> None:
-        self.here, self.sending, self.over = here, anyio.Lock(), False
-        self.asked: list[Asked] = []  # as long as the drill
-        self.lines: dict[str, Router] = {}
-
-    async def connect(self, name: str) -> Router:
-        router = await Router.connect(self.here.tasks, "127.0.0.1", self.here[name].listen)
-        self.here.tasks.start_soon(self._leave, router)
-        return router
-
-    async def _leave(self, router: Router) -> None:
-        """Told `leaving`, a router closes once all on the connection is answered."""
-        await router.until(lambda: router.closed or (router.notices and not self.open(router)), 10 * PATIENCE)
-        await anyio.aclose_forcefully(router.stream)
-
-    def open(self, router: Router) -> int:
-        return sum(one.router is router and one.number not in router.answers for one in self.asked)
-
-    async def ask(self, name: str, kind: str = "look") -> Asked:
-        """One request; two tries of it where it is keyed."""
-        async with self.sending:
-            router = self.lines.get(name)
-            if router is None or router.closed or router.notices:
-                router = self.lines[name] = await self.connect(name)
-            body = f"{name} {len(self.asked)}".encode()
-            fields, tries = ({"replay": body.hex()}, 2) if kind == KEYED else ({}, 1)
-            frames = [router.frame(kind, body, **fields) for _ in range(tries)]
-            await router.stream.send(b"".join(data for _, data in frames))  # one that fails owes nothing
-            self.asked += [Asked(router, number, body) for number, _ in frames]
-            return self.asked[-1]
-
-    async def each(self, name: str, times: int = 1) -> None:
-        for kind in list(EFFECTS) * times:
-            await self.ask(name, kind)
-
-    async def half(self, name: str) -> tuple[Router, bytes]:
-        """Half a request on a connection of its own, which stays open for the rest that is given back."""
-        router = await self.connect(name)
-        await router.answer(await router.check())
-        body = f"{name} half {id(router)}".encode()
-        number, data = router.frame("look", body)
-        await router.stream.send(data[:40])
-        self.asked.append(Asked(router, number, body))
-        return router, data[40:]
-
-    async def trickle(self, name: str) -> None:
-        """All classes in turn, until the app server is told to leave, or is killed."""
-        for kind in itertools.cycle(EFFECTS):
-            line = self.lines.get(name)
-            if self.over or not self.here[name].runs or (line is not None and line.notices):
-                return
-            if line is None or line.closed or self.open(line) < OPEN - SPARE:
-                with suppress(OSError, *LOST):
-                    await self.ask(name, kind)
-            await anyio.sleep(EVERY)
-
-    async def served(self, name: str) -> bool:
-        """Whether a request on a new connection is."""
-        self.lines.pop(name, None)
-        one = await self.ask(name)
-        return (await one.router.answer(one.number, PATIENCE))[0] is None
-
-
 @asynccontextmanager
 async def servers(many: int, later: Collection[str] = (), linked: Collection[str] = (), **more: Any) -> \
         AsyncIterator[tuple[Drill, Routers]]:  # fmt: skip
@@ -129,7 +53,7 @@
         for one in here.servers:
             if one.name not in later:
                 await here.until(lambda one=one: one.said("up") and here.roster.last(one.name), 20.0)
-        yield here, Routers(here)
+        yield here, Routers(here, list(EFFECTS), {KEYED})
 
 
 async def again(here: Drill, one: AppServer) -> Spent:
