Commands lost with a dead processor link go out again, by the processor's own proof

Cause: a command counted as read when it was handed to the link over 0.3 s before the loss (desk.py LOST_SPAN, sent_at). One that was written late, or into a link that was dead already, was not sent again: its request failed when due and its core stayed taken for good, as docs/endings.md had it as not proven. Ruled out: the notices (they are numbered and replayed), the database (no call is made). Change: the processor reads in order and answers each request for the gauges, so an answer proves all that was written before it. Processor keeps what is not proven (Unproven, bounded) and tells it with Synced; the dispatcher sends just that again. LOST_SPAN, sent_at and down_at go. A proven command is not sent again, also where it is younger than 0.3 s: its run may end just now. Tests: test_a_link_to_the_processor_that_was_dead_before_it_broke fails with the program before (seen) and passes; a table of what is written, answered and lost. The case of AtTheDesk that went by LOST_SPAN goes by what is told as lost: one lost, one not, none.

--- a/tests/drills/test_restarts.py
+++ b/tests/drills/test_restarts.py
@@ -31,6 +31,7 @@
 READY, BACK = 10.0, 3.0  # seconds: of a restarted process, nine in ten; until a report once the list is back
 SILENT = 8.0  # seconds that the list hangs
 TAKEN, UNANSWERED = 204, 0  # what the list says to reports
+VANISHED = 2000  # octets: some forty commands and asks for gauges, over more than a second
 RESETS, STORM = 20, 2.0  # of every connection; within so many seconds
 
 
@@ -220,6 +221,23 @@
                 self.assertEqual(counted, len(one.said("accept failed")))
             self.sound(here, *most)
 
+    async def test_a_link_to_the_processor_that_was_dead_before_it_broke(self) -> None:
+        """Nothing that goes out on it arrives, for as long as it takes. Once, what was sent more than 0.3 s
+        before a loss counted as arrived: such requests failed, and each kept its core for good."""
+        async with servers(1, linked=["around"]) as (here, routers):
+            [one], link = here.servers, here.links["s1", "processor"]
+            self.assertTrue(await routers.served(one.name))
+            link.put("there")
+            asked = [await routers.ask(one.name) for _ in range(CORES)]
+            await here.until(lambda: link.vanished > VANISHED)
+            link.heal()
+            for each in asked:
+                self.assertIsNone((await each.router.answer(each.number, PATIENCE))[0])
+            for _ in range(2 * CORES):  # no core is taken for good
+                self.assertTrue(await routers.served(one.name))
+            await self.answered(routers)
+            self.sound(here)
+
     async def test_a_successor_on_the_address_of_one_that_still_drains(self) -> None:
         async with servers(5, later=["s5"]) as (here, routers):
             old, new = here["s1"], here["s5"]
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -133,7 +133,7 @@
     def test_a_run_refused_on_two_links_frees_its_core_and_not_its_key(self) -> None:
         """The first refusal is lost with its link, as what has no number is."""
         here = self.here
-        for event in (self.keyed("1"), self.keyed("2"), mail.Down(), mail.Synced(2)):
+        for event in (self.keyed("1"), self.keyed("2"), mail.Down(), mail.Synced(2, frozenset("1"))):
             here.hear(event)
         self.assertEqual(here.begun(), ["1", "1"])
         here.hear(mail.Refused("1", mail.Begin))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -11,6 +11,7 @@
 import unittest
 from contextlib import suppress
 from pathlib import Path
+from typing import Any
 from unittest import mock
 
 import anyio
@@ -200,6 +201,59 @@
         self.assertEqual((names.op_types, given["machine"].cores), ({"look": 0, "buy": 1}, 2))
 
 
+class UnprovenCommands(unittest.IsolatedAsyncioTestCase):
+    """What a processor's link may have swallowed, by what was written, answered and lost."""
+
+    BEGIN, GAUGE = mail.Begin("run", 0, b""), mail.Gauge()
+    COMMANDS = (BEGIN, mail.Reply("called", b""), mail.TakeUp("paused"), mail.Without("poorer"))
+
+    def test_what_may_be_lost(self) -> None:
+        begin, gauge, answered = self.BEGIN, self.GAUGE, None  # None: an ask for gauges is answered
+        cases: list[tuple[tuple[Any, ...], set[str]]] = [
+            ((begin,), {"run"}),
+            (self.COMMANDS, {"run", "called", "paused", "poorer"}),
+            ((begin, gauge), {"run"}),
+            ((begin, gauge, answered), set()),
+            ((gauge, begin, answered), {"run"}),
+            ((gauge, begin, gauge, answered), {"run"}),
+            ((gauge, begin, gauge, answered, answered), set()),
+            ((answered, begin), {"run"}),
+            ((mail.Interrupt("stopped"), processor.Sync(2)), set()),
+        ]
+        for steps, lost in cases:
+            with self.subTest(steps=steps):
+                unproven = processor.Unproven()
+                for step in steps:
+                    unproven.answered() if step is None else unproven.writes(step)
+                unproven.loses()
+                self.assertEqual(unproven.take_lost(), lost)
+                self.assertEqual(unproven.take_lost(), set())
+
+    def test_what_was_never_written_is_lost_with_the_links_before(self) -> None:
+        unproven = processor.Unproven()
+        unproven.loses((self.BEGIN, self.GAUGE))
+        unproven.answered()  # to the link before: it proves nothing of this one
+        unproven.writes(mail.Reply("called", b""))
+        unproven.loses()
+        self.assertEqual(unproven.take_lost(), {"run", "called"})
+
+    def test_a_processor_that_answers_nothing_fills_no_memory(self) -> None:
+        unproven = processor.Unproven()
+        for number in range(2 * processor.MOST_UNPROVEN):
+            unproven.writes(mail.Begin(str(number), 0, b""))
+        unproven.loses()
+        self.assertEqual(len(unproven.take_lost()), processor.MOST_UNPROVEN)
+
+    async def test_a_command_that_finds_the_mailbox_full_is_lost_with_the_link(self) -> None:
+        peer = processor.Processor(start.Address("127.0.0.1", 1), NAMES, mock.Mock())
+        self.addCleanup(peer.outbox.close)
+        self.addCleanup(peer.unsent.close)
+        for number in range(processor.OUTBOX + 1):
+            peer.tell(mail.Begin(str(number), 0, b""))
+        self.assertTrue(peer.scope.cancel_called)
+        self.assertEqual(peer.unproven.take_lost(), {str(processor.OUTBOX)})
+
+
 class Retained(unittest.TestCase):
     def test_a_repeat_counts_by_when_it_reached_the_machine(self) -> None:
         """Read late, it is still one; entries outlive their span for that, and then go."""
@@ -272,15 +326,14 @@
         return sum(isinstance(call.args[0], mail.Begin) for call in self.processor.tell.call_args_list)
 
     def test_what_a_lost_link_swallowed_is_sent_again_though_the_next_is_lost_too(self) -> None:
-        """And what went out long before the loss is not: its run may end just now."""
+        """And what is proven to have come through is not: its run may end just now."""
         now = time.time()
-        for long_before, begins in [(0.0, 2), (2 * desk.LOST_SPAN, 1)]:
+        for lost, begins in [({f"{1:016x}"}, 2), ({f"{2:016x}"}, 1), (set(), 1)]:
             self.setUp()
             for event in (mail.Up(False, 0.0), mail.Synced(1), self.order(1)):
                 self.desk._hear(now, event)
             self.desk._settle(now)
-            for event in (mail.Down(), mail.Down(), mail.Synced(3)):
-                now += max(long_before, 1.0 * isinstance(event, mail.Synced))
+            for event in (mail.Down(), mail.Down(), mail.Synced(3, frozenset(lost))):
                 self.desk._hear(now, event)
             self.assertEqual(self.begins(), begins)
 
--- a/thymeyoke/net/desk.py
+++ b/thymeyoke/net/desk.py
@@ -76,7 +76,6 @@
 FAREWELL = 0.06  # an op may cross a close for 50 ms: after the last answer the process stays this long
 COUNTS_PERIOD = 10.0
 CROWD = 4  # events in a batch from which on more are waited for
-LOST_SPAN = 0.3  # commands that went out so long before a link was lost may be lost with it
 
 
 class Slip:
@@ -88,7 +87,7 @@
         self.answered = self.begun = self.over = self.paused = self.calling = False
         self.repeats: str | None = None
         self.command: Command | None = None  # the last to the processor, until known to have come through
-        self.sent, self.sent_at, self.again = 0, 0.0, False  # the link it went out on; whether on two
+        self.sent, self.again = 0, False  # the link it went out on; whether on two
         self.asked = b""  # the body of the call that its run stands at
         self.run, self.calls = 0.0, 0  # seconds, as the processor told them; calls made
         self.verdict: Verdict | None = None
@@ -143,7 +142,7 @@
         self.timer_count = 0
         self.dues: list[tuple[float, str]] = []  # emptied as their moments pass
         self.gauges: tuple[float, ...] = ()
-        self.link, self.down_at = 0, 0.0  # the processor's, once it is synced; when the last was lost
+        self.link = 0  # the processor's, once it is synced
         self.own: list[Event] = []  # what carrying out led to at once; emptied within a settle
         self.late: list[Command] = []  # to the processor, after this batch's answers
         self.value: float | None = None
@@ -250,11 +249,10 @@
                 self.gauges = values
             case Up(cold, age):
                 self._up(now, cold, age)
-            case Synced(link):
-                self._synced(link)
+            case Synced(link, lost):
+                self._synced(link, lost)
             case Down():
-                if self.link:  # else nothing went out on it: what the one before lost is still to be sent
-                    self.link, self.down_at = 0, now
+                self.link = 0
             case Refused(id, command):
                 self._refused(now, id, command)
             case Leave(at):
@@ -469,12 +467,12 @@
             self._guarded(self.yoke.gone, now, slip.order.id)
         holds(False, "answered_in_time", id=slip.order.id)
 
-    def _synced(self, link: int) -> None:
-        """The replayed notices are in: what is still open was lost with the old link, or never sent. What
-        went out long before has come through: a run that ends just now must not be begun again."""
-        self.link, doubtful = link, self.down_at - LOST_SPAN
-        for slip in self.slips.values():
-            if slip.command and slip.sent != link and (not slip.sent or slip.sent_at > doubtful):
+    def _synced(self, link: int, lost: frozenset[str]) -> None:
+        """The replayed notices are in: what is still open may be lost with the old link, or was never sent.
+        What is proven to have come through is not sent again: its run may end just now."""
+        self.link = link
+        for id, slip in self.slips.items():
+            if slip.command and slip.sent != link and (not slip.sent or id in lost):
                 slip.again = slip.sent > 0
                 self._command(slip, slip.command)
             if slip.paused:
@@ -567,7 +565,7 @@
         heappush(self.timers, (at, self.timer_count, wake.mark))
 
     def _command(self, slip: Slip, command: Command) -> None:
-        slip.command, slip.sent, slip.sent_at = command, self.link, clock()
+        slip.command, slip.sent = command, self.link
         if self.link:
             self.processor.tell(command)
 
--- a/thymeyoke/net/mail.py
+++ b/thymeyoke/net/mail.py
@@ -119,9 +119,11 @@
 
 
 class Synced(NamedTuple):
-    """All that ended while a link was away has been told; commands go out on this link."""
+    """All that ended while a link was away has been told; commands go out on this link. What was told to the
+    links before and may be `lost` with them has not been read, as far as the processor has proven."""
 
     link: int
+    lost: frozenset[str] = frozenset()  # ids of requests
 
 
 class Down(NamedTuple):
--- a/thymeyoke/net/processor.py
+++ b/thymeyoke/net/processor.py
@@ -4,6 +4,8 @@
 
 import logging
 from base64 import b64decode, b64encode
+from collections import deque
+from collections.abc import Iterable
 from typing import Any, NamedTuple
 
 import anyio
@@ -45,6 +47,7 @@
 COMMANDS = {"begin": Begin, "interrupt": Interrupt, "goon": TakeUp, "without": Without, "answer": Reply,
             "usage": Gauge}  # fmt: skip
 GAUGES, SYNC = "gauges", "sync"  # tickets; the second has the link's number behind it
+MOST_UNPROVEN = 4096  # commands and asks for gauges; one that is older counts as read
 
 
 class Sync(NamedTuple):
@@ -57,6 +60,42 @@
     """What the processor sent is not of the protocol."""
 
 
+class Unproven:
+    """Which commands may not have reached the processor. It reads in order and answers each ask for gauges,
+    so an answer proves all that was written before its ask; what was written since may be lost with the link.
+
+    By the time at which a command was handed to the link, one that was written late, or into a link that was
+    dead already, once counted as read: its request failed in time, and its core stayed taken for good."""
+
+    def __init__(self) -> None:
+        self.written: deque[str | None] = deque(maxlen=MOST_UNPROVEN)  # ids in order; None: gauges were asked
+        self.lost: set[str] = set()  # may be; emptied when the dispatcher is told of them
+
+    def writes(self, command: Command | Sync) -> None:
+        """Before it is written: half a command is none."""
+        match command:
+            case Gauge():
+                self.written.append(None)
+            case Begin(id) | Reply(id) | TakeUp(id) | Without(id):  # interrupts go out again by themselves
+                self.written.append(id)
+
+    def answered(self) -> None:
+        """The oldest ask for gauges was."""
+        while self.written and self.written.popleft() is not None:
+            pass
+
+    def loses(self, unsent: Iterable[Command | Sync] = ()) -> None:
+        """The link, with what is not proven, and with what it was still to write."""
+        for command in unsent:
+            self.writes(command)
+        self.lost.update(id for id in self.written if id is not None)
+        self.written.clear()
+
+    def take_lost(self) -> frozenset[str]:
+        lost, self.lost = frozenset(self.lost), set()
+        return lost
+
+
 def encode(command: Command | Sync, op_types: list[str]) -> bytes:
     match command:
         case Begin(id, type, body):
@@ -115,6 +154,7 @@
         self.outbox, self.unsent = anyio.create_memory_object_stream[Command | Sync](OUTBOX)
         self.scope = anyio.CancelScope()  # of the present link
         self.link = self.cursor = 0
+        self.unproven = Unproven()
 
     def tell(self, command: Command | Sync | Move) -> None:
         if isinstance(command, Move):  # the new link takes up behind the last notice read on the old one
@@ -124,6 +164,7 @@
             self.outbox.send_nowait(command)
         except anyio.WouldBlock:
             log.counts["processor_outbox_full"] += 1
+            self.unproven.loses((command,))
             self.scope.cancel()
 
     async def run(self) -> None:
@@ -161,7 +202,7 @@
         await anyio.sleep(pause)
 
     async def _live(self, stream: ByteStream) -> None:
-        waiting(self.unsent)  # of the link before: the desk sends again
+        self.unproven.loses(waiting(self.unsent))  # of the link before: the desk sends again
         with anyio.CancelScope() as self.scope:
             async with anyio.create_task_group() as tasks:
                 hello = orjson.dumps({"event": "hello", "cursor": self.cursor})
@@ -174,6 +215,8 @@
         try:
             async for command in self.unsent:
                 batch = [command, *waiting(self.unsent)]
+                for each in batch:
+                    self.unproven.writes(each)
                 await stream.send(b"".join(encode(command, self.op_types) for command in batch))
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             self.scope.cancel()
@@ -199,8 +242,15 @@
             if cursor <= self.cursor:  # told before
                 return
             self.cursor = cursor
-        if isinstance(event, Up):  # no sooner: a processor that is not up carries out no command
-            self.tries.up(clock())
-            self.tell(Sync(self.link))
+        match event:
+            case Up():
+                self.tries.up(clock())
+                # A processor that is not up carries out no command: what was written before is lost as well.
+                self.unproven.loses()
+                self.tell(Sync(self.link))
+            case Gauges():
+                self.unproven.answered()
+            case Synced(link):
+                event = Synced(link, self.unproven.take_lost())
         if event is not None:
             await post(self.desk, event)
