Commands of the last 0.3 s before a link's loss go out again, whatever was answered since

Change: what is proven counts as possibly lost for LOST_SPAN from when it was written (before: from when it was handed over); the span is measured at the moment of the loss.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -206,43 +206,54 @@
 
     BEGIN, GAUGE = mail.Begin("run", 0, b""), mail.Gauge()
     COMMANDS = (BEGIN, mail.Reply("called", b""), mail.TakeUp("paused"), mail.Without("poorer"))
+    LOST_AT = 10.0
+    EARLY, LATE = LOST_AT - 1.1 * processor.LOST_SPAN, LOST_AT - 0.9 * processor.LOST_SPAN
 
     def test_what_may_be_lost(self) -> None:
         begin, gauge, answered = self.BEGIN, self.GAUGE, None  # None: an ask for gauges is answered
-        cases: list[tuple[tuple[Any, ...], set[str]]] = [
-            ((begin,), {"run"}),
-            (self.COMMANDS, {"run", "called", "paused", "poorer"}),
-            ((begin, gauge), {"run"}),
-            ((begin, gauge, answered), set()),
-            ((gauge, begin, answered), {"run"}),
-            ((gauge, begin, gauge, answered), {"run"}),
-            ((gauge, begin, gauge, answered, answered), set()),
-            ((answered, begin), {"run"}),
-            ((mail.Interrupt("stopped"), processor.Sync(2)), set()),
+        cases: list[tuple[float, tuple[Any, ...], set[str]]] = [
+            (self.EARLY, (begin,), {"run"}),
+            (self.EARLY, self.COMMANDS, {"run", "called", "paused", "poorer"}),
+            (self.EARLY, (begin, gauge), {"run"}),
+            (self.EARLY, (begin, gauge, answered), set()),
+            (self.LATE, (begin, gauge, answered), {"run"}),  # answered, and yet it may be lost
+            (self.EARLY, (gauge, begin, answered), {"run"}),
+            (self.EARLY, (gauge, begin, gauge, answered), {"run"}),
+            (self.EARLY, (gauge, begin, gauge, answered, answered), set()),
+            (self.EARLY, (answered, begin), {"run"}),
+            (self.LATE, (mail.Interrupt("stopped"), processor.Sync(2)), set()),
         ]
-        for steps, lost in cases:
-            with self.subTest(steps=steps):
+        for at, steps, lost in cases:
+            with self.subTest(at=at, steps=steps):
                 unproven = processor.Unproven()
                 for step in steps:
-                    unproven.answered() if step is None else unproven.writes(step)
-                unproven.loses()
+                    unproven.answered(at) if step is None else unproven.writes(at, step)
+                unproven.loses(self.LOST_AT)
                 self.assertEqual(unproven.take_lost(), lost)
+                unproven.loses(self.LOST_AT)
                 self.assertEqual(unproven.take_lost(), set())
 
     def test_what_was_never_written_is_lost_with_the_links_before(self) -> None:
         unproven = processor.Unproven()
-        unproven.loses((self.BEGIN, self.GAUGE))
-        unproven.answered()  # to the link before: it proves nothing of this one
-        unproven.writes(mail.Reply("called", b""))
-        unproven.loses()
+        unproven.loses(self.EARLY, (self.BEGIN, self.GAUGE))
+        unproven.answered(self.EARLY)  # to the link before: it proves nothing of this one
+        unproven.writes(self.EARLY, mail.Reply("called", b""))
+        unproven.loses(self.LOST_AT)
         self.assertEqual(unproven.take_lost(), {"run", "called"})
 
-    def test_a_processor_that_answers_nothing_fills_no_memory(self) -> None:
-        unproven = processor.Unproven()
-        for number in range(2 * processor.MOST_UNPROVEN):
-            unproven.writes(mail.Begin(str(number), 0, b""))
-        unproven.loses()
-        self.assertEqual(len(unproven.take_lost()), processor.MOST_UNPROVEN)
+    def test_a_processor_fills_no_memory_whatever_it_answers(self) -> None:
+        for answers in (False, True):
+            unproven = processor.Unproven()
+            for number in range(2 * processor.MOST_UNPROVEN):
+                unproven.writes(self.LATE, mail.Begin(str(number), 0, b""))
+                unproven.writes(self.LATE, self.GAUGE)
+                if answers:
+                    unproven.answered(self.LATE)
+            kept = len(unproven.written) + len(unproven.proven)
+            self.assertLessEqual(kept, processor.MOST_UNPROVEN)
+            if answers:
+                unproven.answered(self.LOST_AT + 1.0)
+                self.assertEqual(len(unproven.proven), 0)
 
     async def test_a_command_that_finds_the_mailbox_full_is_lost_with_the_link(self) -> None:
         peer = processor.Processor(start.Address("127.0.0.1", 1), NAMES, mock.Mock())
--- a/thymeyoke/net/processor.py
+++ b/thymeyoke/net/processor.py
@@ -48,6 +48,7 @@
             "usage": Gauge}  # fmt: skip
 GAUGES, SYNC = "gauges", "sync"  # tickets; the second has the link's number behind it
 MOST_UNPROVEN = 4096  # commands and asks for gauges; one that is older counts as read
+LOST_SPAN = 0.3  # commands of the last 50 ms may be lost with a link, which is noticed up to so much later
 
 
 class Sync(NamedTuple):
@@ -60,36 +61,49 @@
     """What the processor sent is not of the protocol."""
 
 
+class Written(NamedTuple):
+    """A command that changes a run, by its request's id, or an ask for gauges."""
+
+    at: float
+    id: str | None
+
+
 class Unproven:
     """Which commands may not have reached the processor. It reads in order and answers each ask for gauges,
-    so an answer proves all that was written before its ask; what was written since may be lost with the link.
+    so an answer proves all that was written before its ask; what was written since may be lost with the link,
+    and so may, by the platform's page, what was written just before the loss, whatever was answered.
 
     By the time at which a command was handed to the link, one that was written late, or into a link that was
     dead already, once counted as read: its request failed in time, and its core stayed taken for good."""
 
     def __init__(self) -> None:
-        self.written: deque[str | None] = deque(maxlen=MOST_UNPROVEN)  # ids in order; None: gauges were asked
+        self.written: deque[Written] = deque(maxlen=MOST_UNPROVEN)  # in order; emptied by answers and losses
+        self.proven: deque[Written] = deque(maxlen=MOST_UNPROVEN)  # and younger than LOST_SPAN
         self.lost: set[str] = set()  # may be; emptied when the dispatcher is told of them
 
-    def writes(self, command: Command | Sync) -> None:
+    def writes(self, now: float, command: Command | Sync) -> None:
         """Before it is written: half a command is none."""
         match command:
             case Gauge():
-                self.written.append(None)
+                self.written.append(Written(now, None))
             case Begin(id) | Reply(id) | TakeUp(id) | Without(id):  # interrupts go out again by themselves
-                self.written.append(id)
+                self.written.append(Written(now, id))
 
-    def answered(self) -> None:
+    def answered(self, now: float) -> None:
         """The oldest ask for gauges was."""
-        while self.written and self.written.popleft() is not None:
-            pass
+        while self.written and (oldest := self.written.popleft()).id is not None:
+            self.proven.append(oldest)
+        while self.proven and self.proven[0].at < now - LOST_SPAN:
+            self.proven.popleft()
 
-    def loses(self, unsent: Iterable[Command | Sync] = ()) -> None:
-        """The link, with what is not proven, and with what it was still to write."""
+    def loses(self, now: float, unsent: Iterable[Command | Sync] = ()) -> None:
+        """The link, with what it was still to write."""
         for command in unsent:
-            self.writes(command)
-        self.lost.update(id for id in self.written if id is not None)
+            self.writes(now, command)
+        late = [each for each in self.proven if each.at >= now - LOST_SPAN]
+        self.lost.update(each.id for each in (*self.written, *late) if each.id is not None)
         self.written.clear()
+        self.proven.clear()
 
     def take_lost(self) -> frozenset[str]:
         lost, self.lost = frozenset(self.lost), set()
@@ -164,7 +178,7 @@
             self.outbox.send_nowait(command)
         except anyio.WouldBlock:
             log.counts["processor_outbox_full"] += 1
-            self.unproven.loses((command,))
+            self.unproven.loses(clock(), (command,))
             self.scope.cancel()
 
     async def run(self) -> None:
@@ -188,6 +202,7 @@
                 log.say(logging.ERROR, "processor link ends", error)
             finally:
                 await anyio.aclose_forcefully(stream)
+            self.unproven.loses(clock())
             log.counts["processor_links_lost"] += 1
             pause = self.tries.lost(clock())
             await post(self.desk, Down())
@@ -202,7 +217,7 @@
         await anyio.sleep(pause)
 
     async def _live(self, stream: ByteStream) -> None:
-        self.unproven.loses(waiting(self.unsent))  # of the link before: the desk sends again
+        self.unproven.loses(clock(), waiting(self.unsent))  # told to the link before: the desk sends again
         with anyio.CancelScope() as self.scope:
             async with anyio.create_task_group() as tasks:
                 hello = orjson.dumps({"event": "hello", "cursor": self.cursor})
@@ -214,9 +229,9 @@
     async def _write(self, stream: ByteStream) -> None:
         try:
             async for command in self.unsent:
-                batch = [command, *waiting(self.unsent)]
+                batch, now = [command, *waiting(self.unsent)], clock()
                 for each in batch:
-                    self.unproven.writes(each)
+                    self.unproven.writes(now, each)
                 await stream.send(b"".join(encode(command, self.op_types) for command in batch))
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             self.scope.cancel()
@@ -246,10 +261,10 @@
             case Up():
                 self.tries.up(clock())
                 # A processor that is not up carries out no command: what was written before is lost as well.
-                self.unproven.loses()
+                self.unproven.loses(clock())
                 self.tell(Sync(self.link))
             case Gauges():
-                self.unproven.answered()
+                self.unproven.answered(clock())
             case Synced(link):
                 event = Synced(link, self.unproven.take_lost())
         if event is not None:
