A node that joins waits for the members its file names, not for half a margin of silence

At fault: `_own` in affinity/decide.py, which took half a margin without a new member as proof that all are known, and "alone in the view" as proof that nobody else is there. Ruled out: the hash and the exceptions (the kept seats were right where they were known), the exchange of logs (no peer was known to ask), deaths taken wrongly (the first `now unsure` comes after the join).

Change: members keep the seeds of the file that have neither answered, nor been told of, nor refused a connect (`unanswered_seeds`), ask them until they do, and a view says how many there are. A node that joins waits for them as it does for nodes known, two margins at most; counted as `seats_join_unanswered_seeds`. A question is no answer: who asks has not told its table yet. A connect that times out proves nothing.

--- a/tests/drills/test_seats.py
+++ b/tests/drills/test_seats.py
@@ -7,7 +7,7 @@
 import anyio
 
 from standins.customers import Crowd, Line, source
-from standins.processes import GO_ON, KILL, STOP, TERM, Drill, drill
+from standins.processes import GO_ON, KILL, MARGIN, STOP, TERM, Drill, drill
 from tests.drills.play import Drills, fleet
 from tests.drills.test_members import DEAD
 
@@ -103,6 +103,28 @@
             await crowd.stop()
             self.once(crowd)
 
+    async def test_a_node_that_hears_of_one_app_server_first_seats_nobody_by_it_alone(self) -> None:
+        """Words of all others wait longer than a node that joins listens for; s1's question it hears."""
+        async with fleet(18) as (here, crowd):
+            since = time.time()
+            crowd.nodes.remove("node-1")
+            here["node-1"].signal(TERM)
+            await here["node-1"].gone()
+            others = [name for name in here.all if name != "node-1"]
+            heard = here.links["s1", "node-1"]
+            slow = [link for link in here.between({"node-1"}, others) if link is not heard]
+            here.put(slow, "hang")
+            here.start("node-1")
+            await here.listening("node-1")
+            crowd.nodes.append("node-1")
+            await anyio.sleep(1.2 * MARGIN)  # half a margin from s1's word is over, the two of a join are not
+            here.heal()
+            await crowd.answered(4)
+            self.keeps(crowd, since)
+            await crowd.stop()
+            self.answers(crowd)
+            self.once(crowd)
+
     async def test_an_app_server_joins_and_takes_new_customers_alone(self) -> None:
         async with fleet(13, servers=4, nodes=3, later={"s4", "node-3"}) as (here, crowd):
             since = time.time()
--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -573,17 +573,40 @@
             ({"b": (0.0, unsure)}, 1.0, 1.0),
             ({"b": (0.0, unsure)}, 3.0, 2.0),
         ):
-            seats, now, told = seats_of_a(), -TICK, False
-            while seats.phase == Phase.JOINING:
-                now += TICK
-                there = {name: trust for name, (since, trust) in known.items() if since <= now}
-                seats.saw(now, seen(now, there | {"a": sure}))
-                if "b" in there and not told and answers <= now:
-                    told = True
-                    seats.heard(now, "b", Piece(1, 0, 1, 1, 0, (), Marks()))
-                    seats.heard(now, "b", Ack(seats.log.head, 1, 1))
-                seats.settle(now)
-            self.assertEqual(now, wanted, (known, answers))
+            self.assertEqual(self.joined(known, answers)[0], wanted, (known, answers))
+
+    def joined(
+        self, known: dict[str, tuple[float, Trust]], answers: float, seeds_answer: float = 0.0
+    ) -> tuple[float, Seats]:
+        """When a node has joined, and its seats. `known`: when each member is heard of, and how it stands."""
+        seats, now, told = seats_of_a(), -TICK, False
+        while seats.phase == Phase.JOINING:
+            now += TICK
+            there = {name: trust for name, (since, trust) in known.items() if since <= now}
+            view = seen(now, there | {"a": Trust.SURE})
+            seats.saw(now, view._replace(unanswered_seeds=2 * (now < seeds_answer)))
+            if "b" in there and not told and answers <= now:
+                told = True
+                seats.heard(now, "b", Piece(1, 0, 1, 1, 0, (), Marks()))
+                seats.heard(now, "b", Ack(seats.log.head, 1, 1))
+            seats.settle(now)
+        return now, seats
+
+    def af_32(self) -> None:
+        early, late = {"s1": (0.25, Trust.SURE)}, {"s2": (1.0, Trust.SURE)}
+        for known, seeds_answer, wanted, unanswered in (
+            ({}, 0.25, 0.5, 0),
+            ({}, 1.0, 1.0, 0),
+            ({}, 3.0, 2.0, 2),
+            (early, 1.0, 1.0, 0),
+            (early | late, 1.0, 1.5, 0),  # and by then the hash is over both
+            (early | late, 3.0, 2.0, 2),
+        ):
+            with self.subTest(known=known, seeds_answer=seeds_answer):
+                joined_at, seats = self.joined(known, 3.0, seeds_answer)
+                self.assertEqual(joined_at, wanted)
+                self.assertEqual(seats.taking.names, tuple(known))
+                self.assertEqual(seats.counts["join_unanswered_seeds"], unanswered)
 
 
 entries = st.builds(Entry, st.integers(1, 4), st.sampled_from("stu"), st.integers(0, 2), st.integers(0, 3))
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -613,6 +613,42 @@
         self.assertEqual(tables(X), (1, 99))
 
 
+    def me_33(self) -> None:
+        seeds = tuple(f"10.1.0.{at}:1" for at in range(1, 6))
+        one = One(at=(*seeds, WHERE["me"]), node=True)
+        x, y = (of(name, address=address) for name, address in zip("xy", seeds[:2], strict=True))
+        table, noise = (Said(y),), (Said(of("", address=seeds[4])),)
+
+        def asked() -> set[str]:
+            one.it.beat_at = one.now
+            return {send.to for send in sends(one.settle()) if send.message.kind == Kind.PULL}
+
+        def left() -> int:
+            return one.it.view(one.now).unanswered_seeds
+
+        self.assertEqual(left(), 5)
+        one.hear(x, Kind.PULL)  # it asks, and has not answered
+        self.assertEqual((left(), one.stand()), (5, Stand.SURE))
+        self.assertIn(seeds[0], {seed for _ in range(60) for seed in asked()})
+        for hears, many in (
+            (lambda: one.hear(x), 4), (lambda: one.hear(x, Kind.ACK), 4),
+            (lambda: one.hear(of("z"), said=table), 3), (lambda: one.hear(of("z"), said=noise), 3),
+            (lambda: one.it.refused(one.now, seeds[2]), 2), (lambda: one.it.refused(one.now, ELSEWHERE), 2),
+        ):  # fmt: skip
+            hears()
+            self.assertEqual(left(), many)
+        self.assertNotIn(seeds[0], {seed for _ in range(60) for seed in asked()})
+        before = one.it.version
+        one.it.refused(one.now, seeds[3])
+        self.assertEqual((left(), one.it.version), (1, before))
+        one.it.change(one.now, (*seeds[:4], "10.1.0.9:1"), 1.0)  # the last one is named no more
+        self.assertEqual(left(), 0)
+        last = One(at=seeds[:1], node=True)
+        before = last.it.version
+        last.it.refused(last.now, seeds[0])
+        self.assertEqual((last.it.version, last.it.view(last.now).unanswered_seeds), (before + 1, 0))
+
+
 def layered(sequence: int, layers: int) -> Said:
     parts = {"moves": b"%d" % sequence} if layers & Layer.PARTS else {}
     loads = (Load(f"t{sequence}", sequence),) if layers & Layer.DETAIL else ()
@@ -1008,9 +1044,11 @@
 
 
 @asynccontextmanager
-async def linked(most: links.Bounds) -> AsyncIterator[tuple[links.Links, orders.HostPort, list[Any]]]:
+async def linked(
+    most: links.Bounds, refused: Callable[[str], None] = lambda _: None
+) -> AsyncIterator[tuple[links.Links, orders.HostPort, list[Any]]]:
     where, heard = free(), list[Any]()
-    one = links.Links(most, PERIOD, BADGE, heard.append)
+    one = links.Links(most, PERIOD, BADGE, heard.append, refused)
     assert not one.tell(str(where), b"")
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(one.run, str(where.ip), where.port)
@@ -1169,6 +1207,23 @@
             for stream in streams:
                 await stream.aclose()
 
+    async def test_only_a_refused_connect_says_that_nobody_listens(self) -> None:
+        refused = list[str]()
+        silent = socket.create_server(("127.0.0.1", 0), backlog=1)  # takes nobody: connects time out
+        crowd = [socket.socket() for _ in range(4)]
+        with silent:
+            for one in crowd:
+                one.setblocking(False)
+                one.connect_ex(silent.getsockname())
+            late, gone = "{}:{}".format(*silent.getsockname()), str(free())
+            async with linked(links.Bounds(4, 4), refused.append) as (one, _, _):
+                for address in (late, gone):
+                    self.assertTrue(one.tell(address, b"lost"))
+                await until(lambda: not one.out)
+        for each in crowd:
+            each.close()
+        self.assertEqual(refused, [gone])
+
     async def test_accept_that_fails(self) -> None:
         loop = asyncio.get_running_loop()
         accept, fails, hello = loop.sock_accept, 0, wire.notifications("w", b"hello", BADGE)
--- a/thymeyoke/affinity/decide.py
+++ b/thymeyoke/affinity/decide.py
@@ -111,6 +111,7 @@
         self.margin = max(MARGIN_LEAST, MARGIN * linger) if margin is None else margin
         self.phase, self.began, self.leaves_at, self.goal = Phase.JOINING, inf, inf, 0
         self.newest_at = -inf  # when a member was first heard of
+        self.unanswered_seeds = 0  # members that may be there, and that the view does not know yet
         self.joined = False  # a node that leaves while it joins never has
         self.doubts_until = -inf  # before it, this node does not know what was said while it stood still
         self.stale, self.stale_until = 0.0, -inf  # before it, what is read may be that old
@@ -360,6 +361,7 @@
     def saw(self, now: float, view: View) -> None:
         """A view that is new, or newer figures of the same one."""
         self.began = min(self.began, now)
+        self.unanswered_seeds = view.unanswered_seeds
         me = view.members.get(self.me)
         if me is not None and me.snapshot.incarnation != self.life:
             self.life = me.snapshot.incarnation
@@ -724,13 +726,15 @@
                 self.counts["woke_unanswered"] += missing
         if self.phase == Phase.JOINING:
             # Who has acked all of this node's marks has said with it what it takes (`_speak`). One that is
-            # unsure may be there; and while members come to be known, the hash is over too few of them.
+            # unsure may be there; and while members come to be known, the hash is over too few of them: also
+            # where they are slow to be heard, so that half a margin of silence alone says nothing.
             missing = sum(not (peer.full and peer.acked >= self.log.head) for peer in self.peers.values())
-            listened = now >= self._listens_until and not missing
+            listened = now >= self._listens_until and not (missing or self.unanswered_seeds)
             if listened or now >= self.began + JOIN * self.margin:
                 self.phase = Phase.READY
                 self._joins()
                 self.counts["join_unanswered"] += missing
+                self.counts["join_unanswered_seeds"] += self.unanswered_seeds
                 return [Ready(missing)]
         elif self.phase == Phase.LEAVING:
             missing = sum(peer.acked < self.goal for peer in self.peers.values())
--- a/thymeyoke/members/actor.py
+++ b/thymeyoke/members/actor.py
@@ -59,7 +59,8 @@
     def _linked(self) -> Links:
         own, told = self.membership.own, self.told
         badge = wire.Badge(told.fleet, wire.key(told.key), own.name, own.address)
-        return Links(NODE if own.node else SERVER, told.period, badge, self._take)
+        bounds = NODE if own.node else SERVER
+        return Links(bounds, told.period, badge, self._take, self._refused)
 
     # For other subsystems.
 
@@ -196,6 +197,11 @@
         self.membership.heard(clock(), whole.address, message)
         self._stir()
 
+    def _refused(self, address: str) -> None:
+        """Of a link out: nobody listens there."""
+        self.membership.refused(clock(), address)
+        self._stir()
+
     def _word(self, whole: wire.Whole) -> None:
         known = self.membership.known.get(whole.name)
         take = self.ears.get(whole.word)
--- a/thymeyoke/members/decide.py
+++ b/thymeyoke/members/decide.py
@@ -99,12 +99,16 @@
     to be carried out in order. `next` says when to settle again. Times in seconds.
 
     `known` is emptied as the dead and the gone are forgotten; `relays`, `told` and `doubted` as their spans
-    pass; `pulled` on each beat; `fresh` as news has been told."""
+    pass; `pulled` on each beat; `fresh` as news has been told; `unanswered_seeds` as they answer, others tell
+    of them, or nobody listens there."""
 
     def __init__(
         self, now: float, own: Snapshot, seeds: tuple[str, ...], rng: Random, period: float
     ) -> None:
         self.seeds = tuple(seed for seed in seeds if seed != own.address)
+        # Guards against a view that passes for whole because words are slow: half of the fleet was heard of,
+        # by its own questions, and the other half's answers were still on their way.
+        self.unanswered_seeds = set(self.seeds)
         self.rng, self.period, self.began, self.now = rng, period, now, now
         self.own = own._replace(sequence=max(1, own.sequence))
         self.first = own.incarnation  # by this process's clock, at `began`: what is from tomorrow is later
@@ -172,8 +176,11 @@
             (one.name, one.incarnation, one.epoch) for one in message.rumours if one.verdict == Verdict.DEAD
         }
         event = self._said(now, me, dead)
+        if message.kind != Kind.PULL:  # who asks has not answered yet
+            self._seed_answered(sender)
         for said in message.said:
-            self._said(now, said, dead)
+            if self._said(now, said, dead) is not None:
+                self._seed_answered(said.snapshot.address)
         for rumour in message.rumours:
             self._rumour(now, rumour)
         known = self.known.get(me.snapshot.name)
@@ -191,11 +198,17 @@
     def change(self, now: float, seeds: tuple[str, ...], period: float) -> None:
         """The operators' file, read anew. What is known stays."""
         self.seeds = tuple(seed for seed in seeds if seed != self.own.address)
+        self.unanswered_seeds.intersection_update(self.seeds)
         if period != self.period:
             self.period, self.probe = period, None
             self.beat_at = self.probe_at = self.planned = now
             self.pull_at = now + period
 
+    def refused(self, now: float, address: str) -> None:
+        """A connect to the address was refused: nobody listens there."""
+        self._woke(now)
+        self._seed_answered(address)
+
     def begin(self, now: float) -> None:
         """It runs from now on: what lies between its making, or an error, and this is no standstill."""
         self.planned = max(self.planned, now)
@@ -239,7 +252,7 @@
             incarnation=self.own.incarnation, sequence=self.own.sequence, since=max(0.0, now - self.state_at))
         members = {name: self._member(now, one) for name, one in self.known.items()}
         members[own.name] = Member(own, Trust.SURE, max(0.0, now - self.said_at), 1.0)
-        return View(self.version, now, own.name, members)
+        return View(self.version, now, own.name, members, len(self.unanswered_seeds))
 
     @property
     def mute(self) -> bool:
@@ -310,6 +323,11 @@
         self._step(now, known, event)
         return event
 
+    def _seed_answered(self, address: str) -> None:
+        if address in self.unanswered_seeds:
+            self.unanswered_seeds.remove(address)
+            self.version += not self.unanswered_seeds  # who waits for them looks at the view
+
     def _fault(self, now: float, said: Said) -> str:
         if not 0.0 <= said.age < float("inf"):
             return "an age that cannot be"
@@ -621,10 +639,10 @@
             self._post(address, Kind.PUSH, items, to=self.known[name], layers=layers)
 
     def _ask_seeds(self) -> None:
-        """Addresses where nobody is known to be: one a beat, and some while alone. They tell all; what is
-        known here they hear by and by, as news."""
+        """Addresses where nobody is known to be, or whose member has not answered: one a beat, and some while
+        alone. They tell all; what is known here they hear by and by, as news."""
         taken = {one.figures.address for one in self.here()}
-        empty = [seed for seed in self.seeds if seed not in taken]
+        empty = [seed for seed in self.seeds if seed not in taken or seed in self.unanswered_seeds]
         for seed in self.rng.sample(empty, min(len(empty), 1 if taken else SEEDS)):
             self._post(seed, Kind.PULL, [])
 
--- a/thymeyoke/members/links.py
+++ b/thymeyoke/members/links.py
@@ -72,6 +72,7 @@
         self.used = clock()
         self.owed = 0  # letters told and not yet written
         self.unreached = False
+        self.refused = False  # nobody listens there
 
     def tell(self, letter: bytes) -> bool:
         try:
@@ -96,8 +97,10 @@
                     tasks.start_soon(self._watch, stream)
                     await self._write(stream)
                     tasks.cancel_scope.cancel()
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as error:
             self.unreached = True
+            # anyio wraps it; a connect that takes too long, or finds no way, proves nothing.
+            self.refused = isinstance(error.__cause__, ConnectionRefusedError)
             log.counts["members_unreached"] += 1
         except Exception as error:
             log.counts["members_error"] += 1
@@ -185,9 +188,12 @@
     """All links of a process. `out` and `into` are emptied as links end, `refused` as its spans pass."""
 
     def __init__(
-        self, bounds: Bounds, period: float, badge: wire.Badge, take: Callable[[wire.Whole], None]
-    ) -> None:
+        self, bounds: Bounds, period: float, badge: wire.Badge, take: Callable[[wire.Whole], None],
+        on_refused: Callable[[str], None],
+    ) -> None:  # fmt: skip
+        """`on_refused`: told the address of each connect that was refused."""
         self.bounds, self.period, self.badge, self.take = bounds, period, badge, take
+        self.on_refused = on_refused
         self.pool = wire.Pool()
         self.out: dict[str, Link] = {}  # by address
         self.into: set[Heard] = set()
@@ -245,6 +251,8 @@
                 self.refused[link.address] = clock() + AGAIN * self.period
             if self.out.get(link.address) is link:
                 del self.out[link.address]
+            if link.refused:
+                self.on_refused(link.address)
 
     async def _heard(self, stream: SocketStream) -> None:
         if len(self.into) >= self.bounds.into and not self._make_room():
--- a/thymeyoke/members/view.py
+++ b/thymeyoke/members/view.py
@@ -83,12 +83,14 @@
 
 class View(NamedTuple):
     """All that is known at a moment. `version` goes up whenever a name comes, goes, changes its life, its
-    state or its trust; figures alone do not move it. The dead stay in it for a while, as DEAD."""
+    state or its trust, and when no seed is unanswered any more; figures alone do not move it. The dead stay
+    in it for a while, as DEAD."""
 
     version: int
     at: float  # by this process's own clock
     me: str  # this process's name; it is among the members too
     members: Mapping[str, Member]
+    unanswered_seeds: int = 0  # addresses of the file whose members may be there and are not known of yet
 
     def nodes(self) -> list[Member]:
         """Sorted by name, the dead among them."""
