A call's usual time is a mean of many: one quick first call throttled a server for its life

Cause: `Calls.learn` in choice.py took the usual time of calls from the first one, 0.019 s where the mean is 0.2 s on every server, and raised it by a thousandth a call. So calls counted as slow and crowded for the whole life: one out at a time, a line of 17, and all that hangs on a call rejected for it.

Change: the usual time is the lowest that a mean of twenty calls has had, from ten on; until then calls are neither slow nor crowded. STEADY = 20 for the spread of call times, which is about their mean.

--- a/thymeyoke/choice.py
+++ b/thymeyoke/choice.py
@@ -29,6 +29,7 @@
 CALL_FILL = 0.85  # of `fair_calls`: the most calls that are out, lingering ones included
 SLOW_CALLS = 2.5  # calls are slow past this multiple of their usual time
 CROWDED_CALLS = 5  # past this multiple of it fewer calls are sent
+STEADY = 20  # calls of their steady mean: it is off by a quarter where single ones are by all of it
 CALL_TRIES, BACKOFF = 4, 0.1  # of one call, where it may be repeated; the first wait before, of the target
 PRESSED = 0.5  # of the usual target: the wait at which callers are told to hold back
 FLOOR_GAIN = 0.5  # a second and unit of pressure past the set point
@@ -163,7 +164,8 @@
         self.waiting: list[Job] = []  # emptied as calls go out or are given up
         self.lingering: deque[float] = deque()  # ends of abandoned calls; emptied as they pass
         self.out, self.mean, self.seen, self.back = 0, 0.0, now, now  # back: when the last one came back
-        self.usual = self.recent = 0.0  # times of calls; 0 until the first is back
+        self.usual = self.steady = self.recent = 0.0  # times of calls; 0 until enough of them are back
+        self.learned = 0  # calls that the steady mean is made of, at most
 
     def book(self, now: float) -> None:
         """Keep the average number of calls in the dependency's hands."""
@@ -179,13 +181,18 @@
         return hands + 1 <= self.window if self.bound >= 1 else not hands and self.mean < self.bound / 2
 
     def learn(self, now: float, took: float) -> None:
-        """The usual time is the lowest recent mean: single calls differ too much to tell slowness from."""
-        self.back, new = now, 2 * NEWEST if self.usual else 1.0
-        self.recent += new * (took - self.recent)
-        self.usual = min(self.recent, (self.usual or took) + NEWEST / 100 * (self.recent - self.usual))
+        """The usual time is the lowest steady mean: single calls differ too much to tell slowness from. Taken
+        from the first call, it once was a ninth of the mean: all that followed counted as slow, for good."""
+        self.back = now
+        self.learned = min(self.learned + 1, STEADY)
+        self.recent += max(2 * NEWEST, 1 / self.learned) * (took - self.recent)
+        self.steady += (took - self.steady) / self.learned
+        if self.learned >= STEADY / 2:
+            rise = NEWEST / 100 * (self.recent - self.usual)
+            self.usual = min(self.steady, (self.usual or self.steady) + rise)
         # What lies below does less when crowded: slow calls that keep it crowded would keep themselves slow.
         # Harm: where it is slow for other reasons, fewer calls are made than it could take.
-        narrow = self.recent > CROWDED_CALLS * self.usual
+        narrow = 0 < CROWDED_CALLS * self.usual < self.recent
         self.window = max(1.0, min(self.bound, self.window + (-self.window if narrow else 1) * NEWEST))
 
     def watch(self, now: float, ages: list[float]) -> None:
@@ -194,7 +201,7 @@
         for age in ages:
             self.recent += 2 * NEWEST * max(0.0, min(age, now - self.back) - self.recent)
         if not self.out and not self.waiting:
-            self.recent += NEWEST * (self.usual - self.recent)
+            self.recent += NEWEST * ((self.usual or self.recent) - self.recent)
 
     def slow(self) -> bool:
         return 0 < SLOW_CALLS * self.usual < self.recent
