--- a/tests/drills/play.py
+++ b/tests/drills/play.py
@@ -79,6 +79,12 @@
         most = max(0.0, 0.5 - crowd.drill.starved())
         self.assertGreater(crowd.fates["acked"], most * sum(crowd.fates.values()), crowd.fates)
 
+    async def ends(self, crowd: Crowd, since: float = 0.0) -> None:
+        """The customers come to an end: each op was answered, and no keyed one ran twice."""
+        await crowd.stop()
+        self.answers(crowd, since)
+        self.once(crowd)
+
     def once(self, crowd: Crowd, besides: Collection[str] = ()) -> None:
         """No keyed op ran twice, and many were repeated."""
         self.assertEqual(crowd.twice(besides), [], "keyed ops that ran twice")
--- a/tests/drills/test_bad_input.py
+++ b/tests/drills/test_bad_input.py
@@ -85,9 +85,7 @@
             await crowd.answered(6)
             self.keeps(crowd, since)
             self.assertEqual([pair for pair in found_dead(here, since) if pair[1] in here.all], [])
-            await crowd.stop()
-            self.answers(crowd)
-            self.once(crowd)
+            await self.ends(crowd)
             await self.counted(here)
 
     async def counted(self, here: Drill) -> None:
--- a/tests/drills/test_cuts.py
+++ b/tests/drills/test_cuts.py
@@ -25,9 +25,7 @@
                     here.heal()
                     await crowd.answered(4)
                     self.keeps(crowd, since)
-                    await crowd.stop()
-                    self.answers(crowd)
-                    self.once(crowd)
+                    await self.ends(crowd)
 
     async def test_two_halves_that_meet_again(self) -> None:
         """Each half takes the other for dead and seats all who come to it. Once the cut has healed each
@@ -74,6 +72,4 @@
             healed = time.time()
             await crowd.answered(4)
             self.keeps(crowd, since)
-            await crowd.stop()
-            self.answers(crowd, healed + 0.5)
-            self.once(crowd)
+            await self.ends(crowd, healed + 0.5)
--- a/tests/drills/test_moves.py
+++ b/tests/drills/test_moves.py
@@ -218,9 +218,7 @@
             self.always_announced(here, since, "north")
             await crowd.answered(4)
             self.keeps(crowd, since)
-            await crowd.stop()
-            self.answers(crowd)
-            self.once(crowd)
+            await self.ends(crowd)
 
 
 LIAR = "node-9"
--- a/tests/drills/test_seats.py
+++ b/tests/drills/test_seats.py
@@ -60,9 +60,7 @@
             for customer in crowd.all:
                 through = {one.node for one in crowd.tries if one.customer == customer.number}
                 self.assertEqual(through, {"node-1", "node-2"})
-            await crowd.stop()
-            self.answers(crowd)
-            self.once(crowd)
+            await self.ends(crowd)
 
     async def node_joins(self, here: Drill, crowd: Crowd, since: float) -> None:
         """Nobody changes the server for it."""
@@ -121,9 +119,7 @@
             here.heal()
             await crowd.answered(4)
             self.keeps(crowd, since)
-            await crowd.stop()
-            self.answers(crowd)
-            self.once(crowd)
+            await self.ends(crowd)
 
     async def test_an_app_server_joins_and_takes_new_customers_alone(self) -> None:
         async with fleet(13, servers=4, nodes=3, later={"s4", "node-3"}) as (here, crowd):
