--- a/review/standins.py
+++ b/review/standins.py
@@ -54,6 +54,13 @@
         return int(probe.getsockname()[1])
 
 
+def abort(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a reset."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 class Run:
     """One run at the processor."""
 
@@ -65,6 +72,7 @@
         self.result: bytes | None = None
         self.task: asyncio.Task[None] | None = None
         self.is_over = False
+        self.began_at = time.time()
 
 
 class Processor:
@@ -106,9 +114,7 @@
         self.breaks += 1
         self.record.write("link_broken", number=self.links)
         writer, self.writer = self.writer, None
-        sock = writer.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        writer.transport.abort()
+        abort(writer)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -401,6 +407,11 @@
         if self.writer is not None:
             self.writer.close()
 
+    def reset(self) -> None:
+        """Reset the connection."""
+        if self.writer is not None and not self.writer.transport.is_closing():
+            abort(self.writer)
+
 
 def new_try(kind: str, key: str | None, body: bytes | None, allow: int) -> Try:
     """Return a try with a new id."""
