--- a/review/1/test.py
+++ b/review/1/test.py
@@ -130,6 +130,7 @@
 
 def main() -> int:
     """Play the case in a temporary folder."""
+    around.end_on_sigterm()
     record = around.Record(HERE / "record.txt")
     try:
         with around.temporary_folder() as folder:
--- a/review/2/test.py
+++ b/review/2/test.py
@@ -191,6 +191,7 @@
 
 def main() -> int:
     """Play the case in a temporary folder."""
+    around.end_on_sigterm()
     record = around.Record(HERE / "record.txt")
     try:
         with around.temporary_folder() as folder:
--- a/review/standins.py
+++ b/review/standins.py
@@ -512,6 +512,15 @@
     raise TimeoutError("the app server is not ready")
 
 
+def end_on_sigterm() -> None:
+    """On SIGTERM, end the test as one that could not run, with all that it started."""
+
+    def end(*_: object) -> None:
+        raise SystemExit(2)
+
+    signal.signal(signal.SIGTERM, end)
+
+
 def temporary_folder() -> tempfile.TemporaryDirectory[str]:
     """Return a new folder for the files of a test."""
     return tempfile.TemporaryDirectory(prefix="thymeyoke-review-")
