--- a/review/1/test.py
+++ b/review/1/test.py
@@ -72,7 +72,8 @@
             waiting.add(task)
             task.add_done_callback(waiting.discard)
             await asyncio.sleep(draw.expovariate(RATE))
-        await asyncio.wait(waiting, timeout=3.0)
+        if waiting:
+            await asyncio.wait(waiting, timeout=3.0)
         if breaking:
             breaking.cancel()
     finally:
