A start that may have been received is sent again only where its class may run twice

Cause: ProcessorCommands.synced sent the last command again for all that UnacknowledgedCommands named, without regard to what it does if it had arrived. A `begin` of a run that is over, and whose answer is on its way, runs the request anew. The end may stand in the same batch as ProcessorSynced, or be on its way still. Change: a link takes commands once it is synced, so that what was queued and never written is known (CommandsDiscarded) and goes out. A start that was written and not acknowledged is sent again for idempotent classes alone. Others go on if a notice comes; silent ones are given up (unconfirmed_runs.py): the request fails, its core is free, its key stays retained as failed, and a late result answers later tries.

--- a/tests/test_crossing_messages.py
+++ b/tests/test_crossing_messages.py
@@ -138,8 +138,8 @@
         here.hear(messages.RunEnded("2", Outcome.OK, b"its own"))
         self.assertEqual([answer.body for answer in here.answers["2"]], [b"its own"])
 
-    def test_start_rejected_on_two_links_frees_the_core_but_not_the_key(self) -> None:
-        """The first rejection is lost with its link, as notices without a number are."""
+    def test_start_whose_rejection_is_lost_frees_the_core_but_not_the_key(self) -> None:
+        """A rejection has no number and is lost with its link; the keyed start is not sent again."""
         here = self.here
         for event in (
             self.keyed_request("1"),
@@ -148,13 +148,22 @@
             messages.ProcessorSynced(2, frozenset("1")),
         ):
             here.hear(event)
-        self.assertEqual(here.begun(), ["1", "1"])
-        here.hear(messages.CommandRejected("1", messages.StartRun))
+        here.run_until(here.now + 4.0)
         self.assertEqual((here.dispatcher.in_flight.by_id, here.dispatcher.controller.running.total), ({}, 0))
         here.hear(self.keyed_request("3"))
-        self.assertEqual(here.begun(), ["1", "1"])
+        self.assertEqual(here.begun(), ["1"])
         self.assertEqual(here.verdicts(*"123"), [FAILED] * 3)
 
+    def test_start_rejected_on_two_links_frees_the_core(self) -> None:
+        """An idempotent start is sent again; the first rejection is lost with its link."""
+        here = self.here
+        here.hear(here.arrive("1"))
+        here.hear(messages.ProcessorDisconnected(), messages.ProcessorSynced(2, frozenset("1")))
+        self.assertEqual(here.begun(), ["1", "1"])
+        here.hear(messages.CommandRejected("1", messages.StartRun))
+        self.assertEqual((here.dispatcher.in_flight.by_id, here.dispatcher.controller.running.total), ({}, 0))
+        self.assertEqual(here.verdicts("1"), [FAILED])
+
     def test_results_beyond_the_memory_limit_are_dropped_but_their_keys_kept(self) -> None:
         here, keys = self.here, [f"{at:032}" for at in range(3)]
         here.dispatcher.retained.max_bytes = 8192
--- /dev/null
+++ b/tests/test_link_loss.py
@@ -0,0 +1,188 @@
+"""Losses of the processor's link: no run is started twice, and none keeps its core for good."""
+
+from __future__ import annotations
+
+import unittest
+from base64 import b64encode
+from typing import Any
+
+import orjson
+from anyio.abc import SocketStream
+
+from examples.fakes import Processor
+from fakes.dispatcher import KEYED, READ, SimulatedDispatcher
+from tests.app_server import running_server, start_file_with
+from thymeyoke.admission.events import Outcome
+from thymeyoke.server import messages, unconfirmed_runs
+
+KEY = {"replay": "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"}
+SERVED, FAILED = ["served"], ["failed"]
+NOT_IDEMPOTENT = 2  # request class of the settings below
+EFFECTS = ("retryable", "dedup", "fragile")  # of the request classes, in order
+RESPONSE_SECONDS = 0.1
+
+
+def settings() -> dict[str, Any]:
+    """The toy's settings, with one class for each effect."""
+    row = start_file_with()["settings"]["request_classes"][KEYED]
+    classes = [row | {"name": effect, "effect": effect} for effect in EFFECTS]
+    return start_file_with(
+        settings__request_classes=classes,
+        settings__family_info__class_calls=[True] * len(EFFECTS),
+        settings__family_info__worth_without=[0.5] * len(EFFECTS),
+    )["settings"]
+
+
+class EndingAtSync(Processor):
+    """Its run ends just after it has synced the second link: both reach the app server in one piece."""
+
+    async def _send(self, stream: SocketStream, data: bytes) -> None:
+        if b'"sync2"' in data:
+            [id] = self.runs
+            del self.runs[id]
+            result = b64encode(b"did it").decode()
+            notice = {"event": "complete", "handle": id, "fate": "OK", "lasted": 1, "arg": result}
+            self.notices.append(orjson.dumps(notice | {"cursor": len(self.notices) + 1}) + b"\n")
+            data += self.notices[-1]
+        await super()._send(stream, data)
+
+
+class LinkLossOnSockets(unittest.IsolatedAsyncioTestCase):
+    async def test_keyed_run_that_ends_as_its_link_is_synced_is_not_started_again(self) -> None:
+        """Guards against a second run of a keyed request after a loss of the processor's link."""
+        async with running_server(EndingAtSync(calls=0, held=True)) as here:
+            router, work = await here.router(), here.processor
+            number = await router.ask("buy", b"it", **KEY)
+            await work.until(lambda: work.runs)
+            await work.cut()
+            self.assertEqual((await router.answer(number))[1][0], b"did it")
+            heard = len(work.heard)
+            await work.until(lambda: any(said.get("ticket") == "gauges" for said in work.heard[heard:]))
+            self.assertEqual(len(work.begun), 1)
+            retried = await router.answer(await router.ask("buy", b"it", **KEY))
+            self.assertEqual((retried[1][0], len(work.begun)), (b"did it", 1))
+
+
+class LinkLossTestCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.here = SimulatedDispatcher(2.0, settings())
+        self.addCleanup(self.here.close)
+
+    def lose_link(self, *possibly_lost: str, link: int = 2) -> None:
+        synced = messages.ProcessorSynced(link, frozenset(possibly_lost))
+        self.here.hear(messages.ProcessorDisconnected(), synced)
+
+    def learn_response_time(self, class_index: int) -> None:
+        """Let one run of this class respond after `RESPONSE_SECONDS`."""
+        self.here.hear(self.here.arrive("before", class_index, idempotency_key=None))
+        self.here.run_until(self.here.now + RESPONSE_SECONDS)
+        self.here.hear(messages.RunEnded("before", Outcome.OK, b"made"))
+
+    def running(self) -> int:
+        return self.here.dispatcher.controller.running.total
+
+    def sent(self, id: str) -> list[str]:
+        """The commands that were sent for a request, by type."""
+        commands = [call.args[0] for call in self.here.processor.send.call_args_list]
+        return [type(each).__name__ for each in commands if getattr(each, "id", None) == id]
+
+
+class LinkLossTest(LinkLossTestCase):
+    def test_start_is_sent_again_only_if_it_may_run_twice_or_was_not_received(self) -> None:
+        """A table: the class, whether the start is possibly lost, never written, or received; starts."""
+        lost, discarded, received = "lost", "discarded", "received"
+        for class_index, fate, starts in [
+            (READ, lost, 2), (KEYED, lost, 1), (NOT_IDEMPOTENT, lost, 1),
+            (READ, discarded, 2), (KEYED, discarded, 2), (NOT_IDEMPOTENT, discarded, 2),
+            (READ, received, 1), (KEYED, received, 1), (NOT_IDEMPOTENT, received, 1),
+        ]:  # fmt: skip
+            with self.subTest(effect=EFFECTS[class_index], fate=fate):
+                self.setUp()
+                self.here.hear(self.here.arrive("1", class_index))
+                self.here.hear(messages.ProcessorDisconnected())
+                if fate == discarded:
+                    self.here.hear(messages.CommandsDiscarded(frozenset({"1", "unknown"})))
+                self.lose_link(*("1" if fate == lost else ""))
+                self.assertEqual(self.sent("1"), ["StartRun"] * starts)
+                self.here.hear(messages.RunEnded("1", Outcome.OK, b"made"))
+                self.assertEqual((self.here.verdicts("1"), self.running()), ([SERVED], 0))
+
+    def test_run_that_ends_in_the_batch_of_the_sync_is_not_started_again(self) -> None:
+        """The dispatcher hears that the link is synced before it hears of the end."""
+        for class_index in (KEYED, NOT_IDEMPOTENT):
+            with self.subTest(effect=EFFECTS[class_index]):
+                self.setUp()
+                self.here.hear(self.here.arrive("1", class_index))
+                synced = messages.ProcessorSynced(2, frozenset("1"))
+                ended = messages.RunEnded("1", Outcome.OK, b"made")
+                self.here.hear(messages.ProcessorDisconnected(), synced, ended)
+                self.assertEqual((self.sent("1"), self.here.verdicts("1")), (["StartRun"], [SERVED]))
+
+    def test_silent_run_is_given_up_and_its_key_never_runs(self) -> None:
+        """The start was lost: its request fails, its core is free, and no retry runs."""
+        self.learn_response_time(KEYED)
+        self.here.hear(self.here.arrive("1", KEYED))
+        self.lose_link("1")
+        started_at = self.here.now
+        self.here.hear(self.here.arrive("2", KEYED))  # a retry waits for the result
+        silence = unconfirmed_runs.SILENCE_FACTOR * RESPONSE_SECONDS
+        self.here.run_until(started_at + 0.9 * silence)
+        self.assertEqual(self.here.verdicts("1", "2"), [[], []])
+        self.here.run_until(started_at + 1.1 * silence)
+        self.assertEqual((self.here.verdicts("1", "2"), self.running()), ([FAILED, FAILED], 0))
+        self.here.hear(self.here.arrive("3", KEYED))
+        self.assertEqual((self.here.verdicts("3"), self.here.begun()), ([FAILED], ["before", "1"]))
+
+    def test_result_of_a_run_that_was_given_up_answers_later_retries(self) -> None:
+        self.learn_response_time(KEYED)
+        self.here.hear(self.here.arrive("1", KEYED))
+        self.lose_link("1")
+        self.here.run_until(self.here.now + 2 * unconfirmed_runs.SILENCE_FACTOR * RESPONSE_SECONDS)
+        self.here.hear(messages.RunEnded("1", Outcome.OK, b"made"))
+        self.here.hear(self.here.arrive("2", KEYED))
+        self.assertEqual(self.here.verdicts("1", "2"), [FAILED, SERVED])
+        self.assertEqual((self.here.answers["2"][0].body, self.here.begun()), (b"made", ["before", "1"]))
+
+    def test_run_that_is_heard_of_is_not_given_up(self) -> None:
+        """A notice shows that the start was received; from then on the run may be silent for long."""
+        self.learn_response_time(KEYED)
+        self.here.hear(self.here.arrive("1", KEYED))
+        self.lose_link("1")
+        self.here.hear(messages.DependencyCallRequested("1", b"call"))
+        self.here.hear(messages.CallEnded("1", Outcome.OK, b"rows", 0.01))
+        self.here.run_until(self.here.now + 5 * unconfirmed_runs.SILENCE_FACTOR * RESPONSE_SECONDS)
+        self.assertEqual(self.here.verdicts("1"), [[]])
+        self.here.hear(messages.RunEnded("1", Outcome.OK, b"made"))
+        self.assertEqual((self.here.verdicts("1"), self.running()), ([SERVED], 0))
+
+    def test_without_a_known_response_time_a_silent_run_keeps_its_core_until_its_deadline(self) -> None:
+        self.here.hear(self.here.arrive("1", KEYED))
+        self.lose_link("1")
+        self.here.run_until(self.here.now + 3.0)
+        self.assertEqual((self.here.verdicts("1"), self.running()), ([FAILED], 0))
+        self.assertEqual(len(self.here.dispatcher.in_flight), 0)
+
+    def test_run_of_an_abandoned_request_is_given_up_too(self) -> None:
+        """Its client is gone, and its core would otherwise stay taken."""
+        self.learn_response_time(KEYED)
+        self.here.hear(one := self.here.arrive("1", KEYED))
+        self.lose_link("1")
+        self.here.hear(messages.ClientGone("1", one.client))
+        self.here.run_until(self.here.now + 2 * unconfirmed_runs.SILENCE_FACTOR * RESPONSE_SECONDS)
+        self.assertEqual((self.here.verdicts("1"), self.running()), ([[]], 0))
+        self.assertEqual(len(self.here.dispatcher.in_flight), 0)
+
+
+class RecentMaximumTest(unittest.TestCase):
+    def test_values_are_forgotten_after_two_windows_at_most(self) -> None:
+        window = unconfirmed_runs.RESPONSE_WINDOW_SECONDS
+        for after, largest in [(0.0, 3.0), (0.9, 3.0), (1.1, 3.0), (2.1, None)]:
+            with self.subTest(windows=after):
+                maximum = unconfirmed_runs.RecentMaximum()
+                for value in (1.0, 3.0, 2.0):
+                    maximum.add(1000.0, value)
+                self.assertEqual(maximum.get(1000.0 + after * window), largest)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_unacknowledged.py
+++ b/tests/test_unacknowledged.py
@@ -6,6 +6,8 @@
 from typing import Any
 from unittest import mock
 
+import anyio
+
 from tests.app_server import start_file_with
 from thymeyoke.configuration import start_file
 from thymeyoke.server import (
@@ -56,14 +58,35 @@
                 commands.link_lost(self.LOST_AT)
                 self.assertEqual(commands.take_possibly_lost(), set())
 
-    def test_unwritten_commands_are_lost_with_those_of_earlier_links(self) -> None:
+    def test_commands_are_lost_with_those_of_earlier_links(self) -> None:
         commands = unacknowledged.UnacknowledgedCommands()
-        commands.link_lost(self.EARLY, (self.START, self.READ_GAUGES))
+        for command in (self.START, self.READ_GAUGES):
+            commands.add(self.EARLY, command)
+        commands.link_lost(self.EARLY)
         commands.acknowledge(self.EARLY)  # of the previous link; acknowledges nothing here
         commands.add(self.EARLY, messages.CallResult("called", b""))
         commands.link_lost(self.LOST_AT)
         self.assertEqual(commands.take_possibly_lost(), {"run", "called"})
 
+    async def test_commands_that_were_never_written_are_reported_before_the_link_is_synced(self) -> None:
+        """They are certain not to have been received, unlike those that were written to an earlier link."""
+        inbox, events = anyio.create_memory_object_stream[messages.Event](8)
+        client = processor.ProcessorClient(start_file.Address("127.0.0.1", 1), NAMES, inbox)
+        for mailbox in (inbox, events, client.outbox, client.outbox_reader):
+            self.addCleanup(mailbox.close)
+        client.unacknowledged.add(self.EARLY, self.START)
+        client.unacknowledged.link_lost(self.LOST_AT)
+        client.link = 2
+        for command in (*self.COMMANDS[1:], self.READ_GAUGES, messages.StopRun("stopped")):
+            client.send(command)
+        for _ in range(2):  # the second answer has nothing more to report
+            await client._handle_line(b'{"event":"used","ticket":"sync2","figures":[]}')
+        found = [events.receive_nowait() for _ in range(events.statistics().current_buffer_used)]
+        discarded = messages.CommandsDiscarded(frozenset({"called", "paused", "poorer"}))
+        synced = messages.ProcessorSynced(2, frozenset({"run"}))
+        self.assertEqual(found, [discarded, synced, messages.ProcessorSynced(2)])
+        self.assertEqual(client.outbox_reader.statistics().current_buffer_used, 0)
+
     def test_memory_is_bounded_whatever_the_processor_answers(self) -> None:
         for answers in (False, True):
             commands = unacknowledged.UnacknowledgedCommands()
@@ -85,7 +108,8 @@
         for number in range(processor.OUTBOX_SIZE + 1):
             client.send(messages.StartRun(str(number), 0, b""))
         self.assertTrue(client.scope.cancel_called)
-        self.assertEqual(client.unacknowledged.take_possibly_lost(), {str(processor.OUTBOX_SIZE)})
+        self.assertEqual(client.discarded, {str(processor.OUTBOX_SIZE)})
+        self.assertEqual(client.unacknowledged.take_possibly_lost(), set())
 
 
 if __name__ == "__main__":
--- a/thymeyoke/server/action_executor.py
+++ b/thymeyoke/server/action_executor.py
@@ -104,7 +104,7 @@
         id = request.header.id
         match action:
             case actions.Run():
-                self._start_or_resume(request)
+                self._start_or_resume(now, request)
             case actions.Reject(_, is_terminal, retry_after):
                 self._reject(request, is_terminal, retry_after)
             case actions.Fail():
@@ -125,16 +125,17 @@
             case actions.ReleaseKey():
                 self.release_key(now, id)
             case actions.ContinueDegraded():
-                self.commands.send(request, ContinueWithoutCall(id))
+                self.commands.send(now, request, ContinueWithoutCall(id))
 
-    def _start_or_resume(self, request: InFlightRequest) -> None:
+    def _start_or_resume(self, now: float, request: InFlightRequest) -> None:
         id = request.header.id
         if request.has_started and request.is_paused:
             request.is_paused = False
-            self.commands.send(request, ResumeRun(id))
+            self.commands.send(now, request, ResumeRun(id))
         elif check_invariant(not request.has_started, "runs_once", id=id):
             request.has_started = True
-            self.commands.send(request, StartRun(id, request.header.class_index, request.header.body))
+            command = StartRun(id, request.header.class_index, request.header.body)
+            self.commands.send(now, request, command)
 
     def _reject(self, request: InFlightRequest, is_terminal: bool, retry_after: float) -> None:
         id, request_class = request.header.id, self.classes[request.header.class_index]
--- a/thymeyoke/server/dispatcher.py
+++ b/thymeyoke/server/dispatcher.py
@@ -18,7 +18,7 @@
 from thymeyoke.admission.actions import Action
 from thymeyoke.admission.controller import AdmissionController
 from thymeyoke.admission.events import Outcome
-from thymeyoke.admission.settings import AdmissionSettings
+from thymeyoke.admission.settings import AdmissionSettings, StopEffect
 from thymeyoke.runtime import logs
 from thymeyoke.runtime.clock import clock
 from thymeyoke.runtime.extensions import Extension, ServerStatus, StatusQuery, Verdict
@@ -42,6 +42,7 @@
     CloseListener,
     Command,
     CommandRejected,
+    CommandsDiscarded,
     DependencyCallRequested,
     Event,
     GaugesRead,
@@ -58,6 +59,7 @@
 from thymeyoke.server.processor import ProcessorClient
 from thymeyoke.server.processor_commands import ProcessorCommands
 from thymeyoke.server.timers import GAUGE_LEAD_SECONDS, PolicyTimers
+from thymeyoke.server.unconfirmed_runs import UnconfirmedRuns
 
 MAILBOX_SIZE = 4096
 COUNTERS_PERIOD_SECONDS = 10.0
@@ -89,6 +91,7 @@
         )
         self.retained = IdempotencyCache(settings.longest_client_timeout, results_limit)
         self.intake = RequestIntake(self.settings, self.in_flight, self.retained, self.extensions)
+        self.unconfirmed = UnconfirmedRuns(len(self.classes), settings.terms.answer_slack)
         self.timers = PolicyTimers()
         self.gauges: tuple[float, ...] = ()
         self.drain = DrainState()
@@ -101,7 +104,7 @@
     ) -> None:  # fmt: skip
         """Set the actors that the dispatcher sends messages to."""
         self.listener, self.dependency = listener, dependency
-        self.commands = ProcessorCommands(processor)
+        self.commands = ProcessorCommands(processor, self.classes)
         self.executor = ActionExecutor(
             self.settings, self.in_flight, self.retained, self.timers, self.commands,
             Peers(listener, dependency, endpoint_registry), self._reuse_ended,
@@ -135,7 +138,7 @@
 
     def next_moment(self) -> float:
         """The time of the next wake-up if no event arrives before it."""
-        moments = [self.next_counters_at, *self.timers.next_moments()]
+        moments = [self.next_counters_at, *self.timers.next_moments(), *self.unconfirmed.next_moments()]
         moments += [heap[0][0] for heap in (self.in_flight.deadlines,) if heap]
         moments += self.drain.next_moments(self.in_flight.unanswered > 0)
         if self.drain.plan and self.extensions.observers:
@@ -190,7 +193,8 @@
                 self._run_ended(now, event)
             case DependencyCallRequested(id, body):
                 if (request := self.in_flight.by_id.get(id)) and self.controller:
-                    request.call_body, request.last_command = body, None
+                    self.unconfirmed.notice_received(now, request)
+                    request.call_body = body
                     self.controller.waits_for_dependency(now, id)
             case CallEnded():
                 self._call_ended(now, event)
@@ -198,8 +202,11 @@
                 self.gauges = values
             case ProcessorReady():
                 self._processor_ready(now, event)
-            case ProcessorSynced(link, possibly_lost):
-                self.commands.synced(link, possibly_lost, self.in_flight.by_id.values())
+            case CommandsDiscarded(ids):
+                known = [self.in_flight.by_id[id] for id in ids if id in self.in_flight.by_id]
+                self.commands.discarded(known)
+            case ProcessorSynced():
+                self._processor_synced(now, event)
             case ProcessorDisconnected():
                 self.commands.disconnected()
             case CommandRejected():
@@ -222,6 +229,24 @@
         if self.drain.plan:  # shutdown was requested before the controller existed
             self._announce_shutdown(self.controller, self.drain.plan)
 
+    def _processor_synced(self, now: float, event: ProcessorSynced) -> None:
+        unconfirmed = self.commands.synced(now, event, self.in_flight.by_id.values())
+        self.unconfirmed.add(now, unconfirmed)
+        logs.counters["runs_unconfirmed"] += len(unconfirmed)
+
+    def _give_run_up(self, now: float, request: InFlightRequest) -> None:
+        """End a run whose last command was lost with a link, as far as is known; its key stays retained."""
+        id, command = request.header.id, request.last_command
+        logs.counters["runs_given_up"] += 1
+        silent_seconds = now - request.command_sent_at
+        logs.log_peer_fault(
+            "run_given_up", id=id, command=type(command).__name__, silent_seconds=silent_seconds
+        )
+        request.is_paused = False
+        self._run_ended(now, RunEnded(id, Outcome.STOPPED, b""))
+        if self.settings.machine.stop_effect is not StopEffect.NONE:
+            self.commands.stop(request)
+
     def _status(self) -> ServerStatus:
         names = self.settings.machine.gauges
         busy = self.gauges[names.index("busy")] if self.gauges and "busy" in names else None
@@ -252,9 +277,9 @@
         request = self.in_flight.by_id.get(id)
         if request is None or self.controller is None:
             logs.counters["unknown_runs_ended"] += 1
-            return
+            return self._late_run_ended(now, event)
         request.run_time = max(request.run_time, run_time)  # cumulative; reported at each stop and at the end
-        request.last_command = None
+        self.unconfirmed.notice_received(now, request)
         if outcome is Outcome.STOPPED and request.is_paused and not request.is_answered:  # will be resumed
             self._guarded(self.controller.run_ended, now, id, outcome)
             return
@@ -268,6 +293,12 @@
         result = Result(body if is_ok else None, now)
         self.executor.answer_repeats(now, id, self.retained.complete(id, result), result)
 
+    def _late_run_ended(self, now: float, event: RunEnded) -> None:
+        """Answer later retries of a request whose run was given up with the result that it had after all."""
+        retained = self.retained.by_id.get(event.id)
+        if event.outcome is Outcome.OK and retained and retained.result and retained.result.body is None:
+            self.retained.complete(event.id, Result(event.result, now))
+
     def _reuse_ended(self, now: float, id: str, outcome: Outcome) -> None:
         """Report a request that was answered with the result of another request."""
         if self.controller:
@@ -280,7 +311,7 @@
         request.is_calling = False
         logs.counters[f"calls_{event.outcome.value}"] += 1
         if event.outcome is Outcome.OK:
-            self.commands.send(request, CallResult(event.id, event.body))
+            self.commands.send(now, request, CallResult(event.id, event.body))
         self.controller.call_ended(now, event.id, event.outcome, event.took)
 
     def _command_rejected(self, now: float, event: CommandRejected) -> None:
@@ -329,6 +360,8 @@
     def _handle_expired(self, now: float) -> None:
         self.retained.purge(now)
         self._expire_timers(now)
+        for request in self.unconfirmed.take_expired(now):
+            self._give_run_up(now, request)
         for request in self.in_flight.take_expired(now):
             self._fail_unanswered(now, request)
         if self.drain.take_listener_close(now):
--- a/thymeyoke/server/in_flight.py
+++ b/thymeyoke/server/in_flight.py
@@ -29,6 +29,7 @@
         self.is_answered = self.has_started = self.is_over = self.is_paused = self.is_calling = False
         self.original_id: str | None = None  # the request whose result answers this one
         self.last_command: Command | None = None  # kept until the processor has acknowledged it
+        self.command_sent_at = 0.0
         self.sent_on_link = 0  # number of the link that the last command was sent on; 0 for none
         self.was_resent = False  # the last command was sent on two links
         self.call_body = b""  # body of the dependency call that the run waits for
--- a/thymeyoke/server/messages.py
+++ b/thymeyoke/server/messages.py
@@ -103,13 +103,19 @@
 class ProcessorSynced(NamedTuple):
     """The processor has reported all runs that ended while it was unreachable; this link takes commands.
 
-    The processor has not acknowledged the `possibly_lost` commands, which were sent on earlier links.
+    The processor has not acknowledged the `possibly_lost` commands, which were written to earlier links.
     """
 
     link: int
     possibly_lost: frozenset[str] = frozenset()  # ids of requests
 
 
+class CommandsDiscarded(NamedTuple):
+    """Commands that were queued for a lost link and never written; they count as not sent."""
+
+    ids: frozenset[str]  # of requests
+
+
 class ProcessorDisconnected(NamedTuple):
     """The link to the processor is lost."""
 
@@ -240,6 +246,7 @@
     | ShutdownRequested
     | StatusQuery
     | ProcessorReady
+    | CommandsDiscarded
     | ProcessorSynced
     | ProcessorDisconnected
     | RunEnded
--- a/thymeyoke/server/processor.py
+++ b/thymeyoke/server/processor.py
@@ -15,6 +15,7 @@
 from thymeyoke.server.messages import (
     AddressChanged,
     Command,
+    CommandsDiscarded,
     Event,
     GaugesRead,
     ProcessorDisconnected,
@@ -22,7 +23,7 @@
     ProcessorSynced,
 )
 from thymeyoke.server.processor_wire import InvalidLineError, RequestSync, decode, encode, encode_hello
-from thymeyoke.server.unacknowledged import UnacknowledgedCommands
+from thymeyoke.server.unacknowledged import RUN_COMMANDS, UnacknowledgedCommands
 from thymeyoke.slow_start.connector import ConnectorStatus
 from thymeyoke.slow_start.controller import StartupController
 
@@ -33,7 +34,10 @@
 
 
 class ProcessorClient:
-    """Keeps the link open; after a link loss the dispatcher sends lost commands again on the next one."""
+    """Keeps the link open; a link takes commands once it is synced.
+
+    With each synced link the dispatcher is told which commands of the links before are lost.
+    """
 
     def __init__(
         self, address: Address, names: RequestNames, dispatcher: MemoryObjectSendStream[Event],
@@ -44,14 +48,14 @@
         self.class_names = list(names.request_classes)
         self.connector = (startup or StartupController(clock())).connector
         self.logged_status = ConnectorStatus.CONNECTING
-        self.outbox, self.outbox_reader = anyio.create_memory_object_stream[Command | RequestSync](
-            OUTBOX_SIZE
-        )
+        self.outbox, self.outbox_reader = anyio.create_memory_object_stream[Command](OUTBOX_SIZE)
         self.scope = anyio.CancelScope()  # of the current link
+        self.ready, self.synced = anyio.Event(), anyio.Event()  # of the current link
         self.link = self.cursor = 0  # numbers of the current link and of the last notice that was read
         self.unacknowledged = UnacknowledgedCommands()
+        self.discarded: set[str] = set()  # requests whose commands were queued for a link and never written
 
-    def send(self, command: Command | RequestSync | AddressChanged) -> None:
+    def send(self, command: Command | AddressChanged) -> None:
         """Queue a command; if the outbox is full, close the link and open a new one."""
         if isinstance(command, AddressChanged):  # the next link continues after the last notice read
             self.address = command.address
@@ -60,9 +64,19 @@
             self.outbox.send_nowait(command)
         except anyio.WouldBlock:
             logs.counters["processor_outboxes_full"] += 1
-            self.unacknowledged.link_lost(clock(), (command,))
+            self._discard([command])
             self.scope.cancel()
 
+    def _discard(self, commands: list[Command]) -> None:
+        self.discarded.update(command.id for command in commands if isinstance(command, RUN_COMMANDS))
+
+    async def _report_discarded(self) -> None:
+        """Report the commands that were queued for earlier links; the dispatcher sends them again."""
+        self._discard(take_all(self.outbox_reader))
+        if self.discarded:
+            ids, self.discarded = frozenset(self.discarded), set()
+            await post(self.dispatcher, CommandsDiscarded(ids))
+
     async def run(self) -> None:
         """Run until cancelled."""
         while True:
@@ -104,8 +118,7 @@
         await anyio.sleep(backoff)
 
     async def _serve_link(self, stream: ByteStream) -> None:
-        # Commands queued for the previous link; the dispatcher sends them again.
-        self.unacknowledged.link_lost(clock(), take_all(self.outbox_reader))
+        self.ready, self.synced = anyio.Event(), anyio.Event()
         with anyio.CancelScope() as self.scope:
             async with anyio.create_task_group() as tasks:
                 await stream.send(encode_hello(self.cursor))
@@ -115,6 +128,9 @@
 
     async def _write(self, stream: ByteStream) -> None:
         try:
+            await self.ready.wait()  # the processor discards commands that it reads before
+            await stream.send(encode(RequestSync(self.link), self.class_names))
+            await self.synced.wait()
             async for command in self.outbox_reader:
                 batch, now = [command, *take_all(self.outbox_reader)], clock()
                 for each in batch:
@@ -147,12 +163,12 @@
         match event:
             case ProcessorReady():
                 self.connector.ready(clock())
-                # The processor discards commands that it reads before it is ready.
-                self.unacknowledged.link_lost(clock())
-                self.send(RequestSync(self.link))
+                self.ready.set()
             case GaugesRead():
                 self.unacknowledged.acknowledge(clock())
             case ProcessorSynced(link):
+                await self._report_discarded()
                 event = ProcessorSynced(link, self.unacknowledged.take_possibly_lost())
+                self.synced.set()
         if event is not None:
             await post(self.dispatcher, event)
--- a/thymeyoke/server/processor_commands.py
+++ b/thymeyoke/server/processor_commands.py
@@ -1,12 +1,13 @@
-"""Sends commands to the processor, and sends them again on a new link where needed."""
+"""Sends commands to the processor, and sends them again on a new link where that is needed and safe."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 from typing import Protocol
 
+from thymeyoke.admission.settings import Idempotency, RequestClass
 from thymeyoke.server.in_flight import InFlightRequest
-from thymeyoke.server.messages import Command, ReadGauges, StopRun
+from thymeyoke.server.messages import Command, ProcessorSynced, ReadGauges, StartRun, StopRun
 
 
 class CommandReceiver(Protocol):
@@ -22,8 +23,8 @@
     It keeps the last command of each request until the processor has acknowledged it.
     """
 
-    def __init__(self, processor: CommandReceiver) -> None:
-        self.processor = processor
+    def __init__(self, processor: CommandReceiver, classes: tuple[RequestClass, ...]) -> None:
+        self.processor, self.classes = processor, classes
         self.link = 0  # number of the synced link; 0 while there is none
         self.after_answers: list[Command] = []  # sent by `flush`, after the answers of the batch
 
@@ -32,9 +33,10 @@
         """Whether commands are sent at once."""
         return self.link > 0
 
-    def send(self, request: InFlightRequest, command: Command) -> None:
+    def send(self, now: float, request: InFlightRequest, command: Command) -> None:
         """Send a command, now or once the processor is in sync."""
         request.last_command, request.sent_on_link = command, self.link
+        request.command_sent_at = now
         if self.link:
             self.processor.send(command)
 
@@ -54,19 +56,49 @@
         if self.link:
             self.processor.send(ReadGauges())
 
-    def synced(self, link: int, possibly_lost: frozenset[str], requests: Iterable[InFlightRequest]) -> None:
+    def synced(
+        self, now: float, event: ProcessorSynced, requests: Iterable[InFlightRequest]
+    ) -> list[InFlightRequest]:
         """Start using a synced link: send the commands that were never sent or may have been lost.
 
-        Acknowledged commands are not sent again, as their run may be ending.
+        Returns the requests whose last command may have been lost and is not sent again, as the processor
+        could carry it out twice. Other commands that were written have been received.
         """
-        self.link = link
+        self.link = event.link
+        unconfirmed = []
         for request in requests:
-            id, command = request.header.id, request.last_command
-            if command and request.sent_on_link != link and (not request.sent_on_link or id in possibly_lost):
-                request.was_resent = request.sent_on_link > 0
-                self.send(request, command)
+            if not self._recover(now, request, event):
+                unconfirmed.append(request)
             if request.is_paused:
-                self.processor.send(StopRun(id))
+                self.processor.send(StopRun(request.header.id))
+        return unconfirmed
+
+    def _recover(self, now: float, request: InFlightRequest, event: ProcessorSynced) -> bool:
+        """Send the last command again if it did not arrive; return False if this is unknown."""
+        command = request.last_command
+        if command is None or request.sent_on_link == event.link:
+            return True
+        if not request.sent_on_link:
+            self.send(now, request, command)
+        elif request.header.id in event.possibly_lost:
+            if not self._is_repeatable(request, command):
+                return False
+            request.was_resent = True
+            self.send(now, request, command)
+        return True
+
+    def _is_repeatable(self, request: InFlightRequest, command: Command) -> bool:
+        """Whether a command may be carried out twice.
+
+        The processor starts a request anew if its run has ended, even just before the second start arrives.
+        """
+        request_class = self.classes[request.header.class_index]
+        return not isinstance(command, StartRun) or request_class.idempotency is Idempotency.IDEMPOTENT
+
+    def discarded(self, requests: Iterable[InFlightRequest]) -> None:
+        """Note that the last commands of these requests were queued and never written."""
+        for request in requests:
+            request.sent_on_link = 0
 
     def disconnected(self) -> None:
         """Handle the loss of the link."""
--- a/thymeyoke/server/unacknowledged.py
+++ b/thymeyoke/server/unacknowledged.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
 from typing import NamedTuple
 
 from thymeyoke.server.messages import (
@@ -17,6 +16,7 @@
 from thymeyoke.server.processor_wire import RequestSync
 
 MAX_COMMANDS = 4096  # older commands count as received
+RUN_COMMANDS = StartRun, CallResult, ResumeRun, ContinueWithoutCall  # stops are sent again on each new link
 POSSIBLY_LOST_SECONDS = 0.3  # a link may lose commands of its last 50 ms, and its loss is noticed late
 
 
@@ -44,11 +44,10 @@
 
     def add(self, now: float, command: Command | RequestSync) -> None:
         """Record a command just before it is written."""
-        match command:
-            case ReadGauges():
-                self.sent.append(SentCommand(now, None))
-            case StartRun(id) | CallResult(id) | ResumeRun(id) | ContinueWithoutCall(id):
-                self.sent.append(SentCommand(now, id))  # stops are always sent again on a new link
+        if isinstance(command, ReadGauges):
+            self.sent.append(SentCommand(now, None))
+        elif isinstance(command, RUN_COMMANDS):
+            self.sent.append(SentCommand(now, command.id))
 
     def acknowledge(self, now: float) -> None:
         """Handle the answer to the oldest gauge reading."""
@@ -57,10 +56,8 @@
         while self.recently_acknowledged and self.recently_acknowledged[0].at < now - POSSIBLY_LOST_SECONDS:
             self.recently_acknowledged.popleft()
 
-    def link_lost(self, now: float, unsent: Iterable[Command | RequestSync] = ()) -> None:
-        """Handle the loss of the link and of the `unsent` commands that were queued for it."""
-        for command in unsent:
-            self.add(now, command)
+    def link_lost(self, now: float) -> None:
+        """Handle the loss of the link."""
         recent = [one for one in self.recently_acknowledged if one.at >= now - POSSIBLY_LOST_SECONDS]
         self.possibly_lost.update(one.id for one in (*self.sent, *recent) if one.id is not None)
         self.sent.clear()
--- /dev/null
+++ b/thymeyoke/server/unconfirmed_runs.py
@@ -0,0 +1,99 @@
+"""Gives up runs whose last command may have been lost, without I/O.
+
+Such a command is not sent again where the processor could carry it out twice. The run goes on if the command
+was received, which the next notice of the run shows; otherwise it stays silent for good.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Collection, Iterator
+from typing import NamedTuple
+
+from thymeyoke.server.in_flight import InFlightRequest
+from thymeyoke.server.messages import Command
+
+RESPONSE_WINDOW_SECONDS = 60.0
+SILENCE_FACTOR = 1.5  # a run is lost after so many times the longest response of its class
+
+
+class RecentMaximum:
+    """The largest value of the last one to two windows of `RESPONSE_WINDOW_SECONDS`."""
+
+    def __init__(self) -> None:
+        self.previous = self.current = -math.inf
+        self.window_ends_at = 0.0
+
+    def add(self, now: float, value: float) -> None:
+        """Add a value."""
+        self._advance(now)
+        self.current = max(self.current, value)
+
+    def get(self, now: float) -> float | None:
+        """The maximum, or None without a recent value."""
+        self._advance(now)
+        largest = max(self.previous, self.current)
+        return largest if largest > -math.inf else None
+
+    def _advance(self, now: float) -> None:
+        if now < self.window_ends_at:
+            return
+        is_recent = now < self.window_ends_at + RESPONSE_WINDOW_SECONDS
+        self.previous = self.current if is_recent else -math.inf
+        self.current = -math.inf
+        self.window_ends_at = now + RESPONSE_WINDOW_SECONDS
+
+
+class UnconfirmedRun(NamedTuple):
+    """A run that is given up at `give_up_at` if `command` is its last command still."""
+
+    give_up_at: float
+    request: InFlightRequest
+    command: Command
+
+
+class UnconfirmedRuns:
+    """Runs that wait for a notice after a loss of the link; `answer_slack` is in seconds.
+
+    A response is the time from a command to the next notice of its run. A run is given up once it has been
+    silent for longer than the responses of its class, and at the latest when its request is overdue.
+    """
+
+    def __init__(self, class_count: int, answer_slack: float) -> None:
+        self.answer_slack = answer_slack
+        self.longest_response = [RecentMaximum() for _ in range(class_count)]
+        self.runs: list[UnconfirmedRun] = []
+
+    def notice_received(self, now: float, request: InFlightRequest) -> None:
+        """Handle a notice: the processor has received the run's last command."""
+        if request.last_command is None:
+            return
+        request.last_command = None
+        self.longest_response[request.header.class_index].add(now, now - request.command_sent_at)
+
+    def add(self, now: float, requests: Collection[InFlightRequest]) -> None:
+        """Watch runs whose last command may have been lost; all notices sent so far have been read."""
+        for request in requests:
+            if request.last_command is None:
+                continue
+            longest = self.longest_response[request.header.class_index].get(now)
+            overdue_at = max(now, request.deadline) + self.answer_slack
+            silent_until = overdue_at if longest is None else now + SILENCE_FACTOR * longest
+            give_up_at = min(silent_until, overdue_at)
+            self.runs.append(UnconfirmedRun(give_up_at, request, request.last_command))
+
+    def next_moments(self) -> list[float]:
+        """The time of the next expiry, as a list that is empty if there is none."""
+        return [min(run.give_up_at for run in self.runs)] if self.runs else []
+
+    def take_expired(self, now: float) -> Iterator[InFlightRequest]:
+        """Take the requests whose run is given up."""
+        if not self.runs:
+            return
+        expired = [run for run in self.runs if run.give_up_at <= now]
+        self.runs = [run for run in self.runs if run.give_up_at > now and _is_silent(run)]
+        yield from (run.request for run in expired if _is_silent(run))
+
+
+def _is_silent(run: UnconfirmedRun) -> bool:
+    return run.request.last_command is run.command and not run.request.is_over
