A silent run is given up by the longest of at least twenty responses, not by one

Cause: UnconfirmedRuns took the longest response of a class from the first on; after one quick run a silent one was given up at once, though it may go on. Change: at least MIN_RESPONSES responses in one or two minutes, and MIN_SILENCE_SECONDS of silence; until then, the deadline.

--- a/thymeyoke/server/unconfirmed_runs.py
+++ b/thymeyoke/server/unconfirmed_runs.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Collection, Iterator
 from typing import NamedTuple
 
@@ -14,34 +13,44 @@
 from thymeyoke.server.messages import Command
 
 RESPONSE_WINDOW_SECONDS = 60.0
+MIN_RESPONSES = 20  # of a class, before the longest of them counts
+MIN_SILENCE_SECONDS = 0.25
 SILENCE_FACTOR = 1.5  # a run is lost after so many times the longest response of its class
 
 
+class Window(NamedTuple):
+    """The values of one window."""
+
+    responses: int = 0
+    largest: float = 0.0
+
+
 class RecentMaximum:
     """The largest value of the last one to two windows of `RESPONSE_WINDOW_SECONDS`."""
 
     def __init__(self) -> None:
-        self.previous = self.current = -math.inf
-        self.window_ends_at = 0.0
+        self.previous, self.current = Window(), Window()
+        self.ends_at = 0.0  # of the current window
 
     def add(self, now: float, value: float) -> None:
         """Add a value."""
         self._advance(now)
-        self.current = max(self.current, value)
+        self.current = Window(self.current.responses + 1, max(self.current.largest, value))
 
     def get(self, now: float) -> float | None:
-        """The maximum, or None without a recent value."""
+        """The maximum, or None with fewer than `MIN_RESPONSES` recent values."""
         self._advance(now)
-        largest = max(self.previous, self.current)
-        return largest if largest > -math.inf else None
+        if self.previous.responses + self.current.responses < MIN_RESPONSES:
+            return None
+        return max(self.previous.largest, self.current.largest)
 
     def _advance(self, now: float) -> None:
-        if now < self.window_ends_at:
+        if now < self.ends_at:
             return
-        is_recent = now < self.window_ends_at + RESPONSE_WINDOW_SECONDS
-        self.previous = self.current if is_recent else -math.inf
-        self.current = -math.inf
-        self.window_ends_at = now + RESPONSE_WINDOW_SECONDS
+        is_recent = now < self.ends_at + RESPONSE_WINDOW_SECONDS
+        self.previous = self.current if is_recent else Window()
+        self.current = Window()
+        self.ends_at = now + RESPONSE_WINDOW_SECONDS
 
 
 class UnconfirmedRun(NamedTuple):
@@ -77,9 +86,9 @@
             if request.last_command is None:
                 continue
             longest = self.longest_response[request.header.class_index].get(now)
-            overdue_at = max(now, request.deadline) + self.answer_slack
-            silent_until = overdue_at if longest is None else now + SILENCE_FACTOR * longest
-            give_up_at = min(silent_until, overdue_at)
+            give_up_at = max(now, request.deadline) + self.answer_slack
+            if longest is not None:
+                give_up_at = min(give_up_at, now + max(MIN_SILENCE_SECONDS, SILENCE_FACTOR * longest))
             self.runs.append(UnconfirmedRun(give_up_at, request, request.last_command))
 
     def next_moments(self) -> list[float]:
