The result of a dependency call that may have arrived is not sent again on a new link

Cause: after a loss ProcessorCommands.synced sent the last `answer` again. It names no call; a run that had come to its next call meanwhile took it for that one. The notice of that call may stand behind ProcessorSynced in the batch, or be on its way. The omission of a call (`without`) names no call either: the same cause, mended with it. `goon` does nothing to a run that goes on and is repeated. Change: neither is sent again once it was written. The run goes on if a notice comes; else it is given up as a start is.

--- a/tests/test_link_loss.py
+++ b/tests/test_link_loss.py
@@ -12,6 +12,7 @@
 from examples.fakes import Processor
 from fakes.dispatcher import KEYED, READ, SimulatedDispatcher
 from tests.app_server import running_server, start_file_with
+from thymeyoke.admission import actions
 from thymeyoke.admission.events import Outcome
 from thymeyoke.server import messages, unconfirmed_runs
 
@@ -48,7 +49,41 @@
         await super()._send(stream, data)
 
 
+class AskingAtSync(Processor):
+    """Its run makes two calls, and asks for the second just after it has synced the second link."""
+
+    def __init__(self) -> None:
+        super().__init__(span=0.0, calls=2)
+        self.next_call: dict[str, Any] | None = None  # held back until the second link is synced
+
+    async def notice(self, **said: Any) -> None:
+        is_next = said["event"] == "ask" and any(b'"ask"' in notice for notice in self.notices)
+        if is_next and self.next_call is None:
+            self.next_call = said
+            self._changes()
+        else:
+            await super().notice(**said)
+
+    async def _send(self, stream: SocketStream, data: bytes) -> None:
+        if b'"sync2"' in data and self.next_call:
+            notice = self.next_call | {"cursor": len(self.notices) + 1}
+            self.notices.append(orjson.dumps(notice) + b"\n")
+            data += self.notices[-1]
+        await super()._send(stream, data)
+
+
 class LinkLossOnSockets(unittest.IsolatedAsyncioTestCase):
+    async def test_result_of_a_call_is_not_taken_for_that_of_the_next_call(self) -> None:
+        """Guards against a wrong reply to a dependency call after a loss of the processor's link."""
+        async with running_server(AskingAtSync()) as here:
+            router, work = await here.router(), here.processor
+            number = await router.ask("look", b"it")
+            await work.until(lambda: work.next_call)
+            await work.cut()
+            error, result = await router.answer(number)
+            self.assertIsNone(error)
+            self.assertEqual(result[0], b"did it with rows for 0 it with rows for 1 it")
+
     async def test_keyed_run_that_ends_as_its_link_is_synced_is_not_started_again(self) -> None:
         """Guards against a second run of a keyed request after a loss of the processor's link."""
         async with running_server(EndingAtSync(calls=0, held=True)) as here:
@@ -115,6 +150,50 @@
                 self.here.hear(messages.RunEnded("1", Outcome.OK, b"made"))
                 self.assertEqual((self.here.verdicts("1"), self.running()), ([SERVED], 0))
 
+    def test_command_without_a_call_number_is_not_sent_again(self) -> None:
+        """A table: what is sent for a request whose run waits for a call, and whether a loss repeats it."""
+        result = messages.CallEnded("1", Outcome.OK, b"rows", 0.01)
+        for class_index in (READ, KEYED, NOT_IDEMPOTENT):
+            for command, fate, sent in [
+                ("CallResult", "lost", 1), ("CallResult", "discarded", 2),
+                ("ContinueWithoutCall", "lost", 1), ("ContinueWithoutCall", "discarded", 2),
+                ("ResumeRun", "lost", 2), ("ResumeRun", "discarded", 2),
+            ]:  # fmt: skip
+                with self.subTest(effect=EFFECTS[class_index], command=command, fate=fate):
+                    self.setUp()
+                    execute = self.here.dispatcher.executor.execute
+                    self.here.hear(self.here.arrive("1", class_index))
+                    if command == "ResumeRun":
+                        execute(self.here.now, actions.Stop("1"))
+                        execute(self.here.now, actions.Run("1"))
+                    else:
+                        self.here.hear(messages.DependencyCallRequested("1", b"call"))
+                        if command == "CallResult":
+                            self.here.hear(result)
+                        else:
+                            execute(self.here.now, actions.ContinueDegraded("1"))
+                    self.here.hear(messages.ProcessorDisconnected())
+                    if fate == "discarded":
+                        self.here.hear(messages.CommandsDiscarded(frozenset("1")))
+                    self.lose_link(*("1" if fate == "lost" else ""))
+                    self.assertEqual(self.sent("1").count(command), sent)
+                    self.here.hear(messages.RunEnded("1", Outcome.OK, b"made"))
+                    self.assertEqual((self.here.verdicts("1"), self.running()), ([SERVED], 0))
+
+    def test_run_that_never_got_its_reply_is_given_up(self) -> None:
+        """It waits at its call for good: its request fails, of any class, and its core is free."""
+        for class_index in (READ, KEYED, NOT_IDEMPOTENT):
+            with self.subTest(effect=EFFECTS[class_index]):
+                self.setUp()
+                self.learn_response_time(class_index)
+                self.here.hear(self.here.arrive("1", class_index))
+                self.here.hear(messages.DependencyCallRequested("1", b"call"))
+                self.here.hear(messages.CallEnded("1", Outcome.OK, b"rows", 0.01))
+                self.lose_link("1")
+                self.here.run_until(self.here.now + 2 * SILENCE_SECONDS)
+                self.assertEqual((self.here.verdicts("1"), self.running()), ([FAILED], 0))
+                self.assertEqual((self.sent("1").count("StartRun"), self.sent("1")[-1]), (1, "StopRun"))
+
     def test_run_that_ends_in_the_batch_of_the_sync_is_not_started_again(self) -> None:
         """The dispatcher hears that the link is synced before it hears of the end."""
         for class_index in (KEYED, NOT_IDEMPOTENT):
--- a/thymeyoke/server/processor_commands.py
+++ b/thymeyoke/server/processor_commands.py
@@ -7,7 +7,15 @@
 
 from thymeyoke.admission.settings import Idempotency, RequestClass
 from thymeyoke.server.in_flight import InFlightRequest
-from thymeyoke.server.messages import Command, ProcessorSynced, ReadGauges, StartRun, StopRun
+from thymeyoke.server.messages import (
+    CallResult,
+    Command,
+    ContinueWithoutCall,
+    ProcessorSynced,
+    ReadGauges,
+    StartRun,
+    StopRun,
+)
 
 
 class CommandReceiver(Protocol):
@@ -81,19 +89,25 @@
         if not request.sent_on_link:
             self.send(now, request, command)
         elif request.header.id in event.possibly_lost:
-            if not self._is_repeatable(request, command):
+            if not self._is_repeatable(command):
                 return False
             request.was_resent = True
             self.send(now, request, command)
         return True
 
-    def _is_repeatable(self, request: InFlightRequest, command: Command) -> bool:
+    def _is_repeatable(self, command: Command) -> bool:
         """Whether a command may be carried out twice.
 
         The processor starts a request anew if its run has ended, even just before the second start arrives.
+        The result of a call, or its omission, does not name the call: if the run has come to its next call,
+        the processor takes it for that one.
         """
-        request_class = self.classes[request.header.class_index]
-        return not isinstance(command, StartRun) or request_class.idempotency is Idempotency.IDEMPOTENT
+        match command:
+            case StartRun(_, class_index):
+                return self.classes[class_index].idempotency is Idempotency.IDEMPOTENT
+            case CallResult() | ContinueWithoutCall():
+                return False
+        return True
 
     def discarded(self, requests: Iterable[InFlightRequest]) -> None:
         """Note that the last commands of these requests were queued and never written."""
