The processor confirms each batch of commands before the next is written

Need: what may have arrived is not sent again any more, so what a break does lose now costs its request. Change: a numbered request for the gauges goes behind each batch of commands; the next batch is held until it is answered, 0.25 s at most. What is held when the link breaks is known not to have arrived and goes out on the next one: one batch is in doubt.

--- a/tests/test_link_loss.py
+++ b/tests/test_link_loss.py
@@ -4,17 +4,19 @@
 
 import unittest
 from base64 import b64encode
-from typing import Any
+from typing import Any, cast
+from unittest import mock
 
 import orjson
 from anyio.abc import SocketStream
 
 from examples.fakes import Processor
 from fakes.dispatcher import KEYED, READ, SimulatedDispatcher
-from tests.app_server import running_server, start_file_with
+from tests.app_server import running_server, start_file_with, until
 from thymeyoke.admission import actions
 from thymeyoke.admission.events import Outcome
-from thymeyoke.server import messages, unconfirmed_runs
+from thymeyoke.runtime import logs
+from thymeyoke.server import messages, processor, unconfirmed_runs
 
 KEY = {"replay": "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"}
 SERVED, FAILED = ["served"], ["failed"]
@@ -72,7 +74,56 @@
         await super()._send(stream, data)
 
 
+class GoingSilent(Processor):
+    """While it is silent, commands that reach it are lost, and nothing is answered."""
+
+    def __init__(self) -> None:
+        super().__init__(calls=0)
+        self.is_silent = False
+        self.lost: list[bytes] = []
+
+    async def speak(self, stream: SocketStream) -> None:
+        await super().speak(cast(SocketStream, LossyStream(stream, self)))
+
+
+class LossyStream:
+    """The link of a processor that may be silent."""
+
+    def __init__(self, stream: SocketStream, processor: GoingSilent) -> None:
+        self.stream, self.processor = stream, processor
+
+    async def receive(self, max_bytes: int = 65536) -> bytes:
+        """Receive what is not lost."""
+        while data := await self.stream.receive(max_bytes):
+            if not self.processor.is_silent:
+                break
+            self.processor.lost.append(data)
+            self.processor._changes()
+        return data
+
+    async def send(self, data: bytes) -> None:
+        """Send to the app server."""
+        await self.stream.send(data)
+
+
 class LinkLossOnSockets(unittest.IsolatedAsyncioTestCase):
+    @mock.patch.object(processor, "CONFIRMATION_TIMEOUT_SECONDS", 30.0)
+    async def test_commands_wait_while_the_processor_confirms_nothing(self) -> None:
+        """Those that were not written when the link is lost are known not to be received, and are sent."""
+        async with running_server(GoingSilent()) as here:
+            router, work = await here.router(), here.processor
+            work.is_silent = True
+            numbers = [await router.ask("buy", b"0", replay="0" * 32)]
+            await work.until(lambda: any(b"begin" in data for data in work.lost))
+            numbers += [await router.ask("buy", b"%d" % key, replay=f"{key}" * 32) for key in (1, 2, 3)]
+            await until(lambda: logs.counters["requests_received"] == len(numbers))
+            await work.cut()
+            work.is_silent = False
+            answers = [await router.answer(number) for number in numbers[1:]]
+            self.assertEqual([result[0] for _, result in answers], [b"did 1", b"did 2", b"did 3"])
+            error, _ = await router.answer(numbers[0])
+            self.assertEqual((error[0], len(work.begun)), ("Fault", 3))
+
     async def test_result_of_a_call_is_not_taken_for_that_of_the_next_call(self) -> None:
         """Guards against a wrong reply to a dependency call after a loss of the processor's link."""
         async with running_server(AskingAtSync()) as here:
--- a/tests/test_server_codecs.py
+++ b/tests/test_server_codecs.py
@@ -128,6 +128,7 @@
             (messages.ResumeRun("a"), {"event": "goon", "handle": "a"}),
             (messages.ContinueWithoutCall("a"), {"event": "without", "handle": "a"}),
             (messages.ReadGauges(), {"event": "usage", "ticket": "gauges"}),
+            (processor_wire.RequestConfirmation(7), {"event": "usage", "ticket": "confirm7"}),
         ]  # fmt: skip
         for command, said in cases:
             self.assertEqual(orjson.loads(processor_wire.encode(command, ["look", "buy"])), said)
@@ -147,6 +148,10 @@
             ),
             (b'{"event":"used","ticket":"gauges","figures":[0.5,3]}', (0, messages.GaugesRead((0.5, 3.0)))),
             (b'{"event":"used","ticket":"sync2","figures":[]}', (0, messages.ProcessorSynced(2))),
+            (
+                b'{"event":"used","ticket":"confirm7","figures":[]}',
+                (0, processor_wire.CommandsConfirmed(7)),
+            ),
             (
                 b'{"event":"reject","fate":"begin","handle":"a"}',
                 (0, messages.CommandRejected("a", messages.StartRun)),
@@ -157,7 +162,8 @@
             self.assertEqual(processor_wire.decode(line, 2), said)
         for line in (b"", b"[]", b"{}", b'{"event":"dance"}', b'{"event":"hi"}', b"\xff", b'{"event":"ask"}',
                      b'{"event":"complete","handle":"a","fate":"WELL"}',
-                     b'{"event":"ask","handle":"a","arg":"!"}'):  # fmt: skip
+                     b'{"event":"ask","handle":"a","arg":"!"}',
+                     b'{"event":"used","ticket":"confirm"}'):  # fmt: skip
             with self.subTest(line=line), self.assertRaises(processor_wire.InvalidLineError):
                 processor_wire.decode(line, 1)
 
--- a/tests/test_unacknowledged.py
+++ b/tests/test_unacknowledged.py
@@ -35,36 +35,62 @@
     LATE = LOST_AT - 0.9 * unacknowledged.POSSIBLY_LOST_SECONDS
 
     def test_possibly_lost_commands(self) -> None:
-        start, read_gauges, answered = self.START, self.READ_GAUGES, None  # None: a gauge reading is answered
+        """Steps: a command is written, a confirmation is requested, or the one with a number arrives."""
+        start, other, request = self.START, messages.CallResult("called", b""), "request a confirmation"
         cases: list[tuple[float, tuple[Any, ...], set[str]]] = [
             (self.EARLY, (start,), {"run"}),
             (self.EARLY, self.COMMANDS, {"run", "called", "paused", "poorer"}),
-            (self.EARLY, (start, read_gauges), {"run"}),
-            (self.EARLY, (start, read_gauges, answered), set()),
-            (self.LATE, (start, read_gauges, answered), {"run"}),  # too recent to count as received
-            (self.EARLY, (read_gauges, start, answered), {"run"}),
-            (self.EARLY, (read_gauges, start, read_gauges, answered), {"run"}),
-            (self.EARLY, (read_gauges, start, read_gauges, answered, answered), set()),
-            (self.EARLY, (answered, start), {"run"}),
-            (self.LATE, (messages.StopRun("stopped"), processor_wire.RequestSync(2)), set()),
+            (self.EARLY, (start, request), {"run"}),
+            (self.EARLY, (start, request, 1), set()),
+            (self.LATE, (start, request, 1), {"run"}),  # too recent to count as received
+            (self.EARLY, (other, request, start, 1), {"run"}),
+            (self.EARLY, (other, request, start, request, 1), {"run"}),
+            (self.EARLY, (other, request, start, request, 1, 2), set()),
+            (self.EARLY, (other, request, start, request, 2), set()),  # the later one covers both
+            (self.EARLY, (other, request, start, request, 2, 1), set()),
+            (self.EARLY, (other, request, 1, 1, start, request), {"run"}),  # the first one arrives twice
+            (self.EARLY, (start, request, 2), {"run"}),  # never requested
+            (self.EARLY, (1, start, request), {"run"}),
+            (self.EARLY, (self.READ_GAUGES, start, self.READ_GAUGES), {"run"}),
+            (self.LATE, (messages.StopRun("stopped"), self.READ_GAUGES), set()),
         ]
         for at, steps, lost in cases:
             with self.subTest(at=at, steps=steps):
                 commands = unacknowledged.UnacknowledgedCommands()
                 for step in steps:
-                    commands.acknowledge(at) if step is None else commands.add(at, step)
+                    if step == request:
+                        commands.request_confirmation()
+                    elif isinstance(step, int):
+                        commands.acknowledge(at, step)
+                    else:
+                        commands.add(at, step)
                 commands.link_lost(self.LOST_AT)
                 self.assertEqual(commands.take_possibly_lost(), lost)
                 commands.link_lost(self.LOST_AT)
                 self.assertEqual(commands.take_possibly_lost(), set())
 
-    def test_commands_are_lost_with_those_of_earlier_links(self) -> None:
+    def test_only_unacknowledged_commands_need_a_confirmation(self) -> None:
+        """Its numbers go on over all links, so that a late answer acknowledges nothing of another link."""
         commands = unacknowledged.UnacknowledgedCommands()
-        for command in (self.START, self.READ_GAUGES):
+        for number, command in enumerate(self.COMMANDS, start=1):
+            for needless in (self.READ_GAUGES, messages.StopRun("stopped")):
+                commands.add(self.EARLY, needless)
+            self.assertIsNone(commands.request_confirmation())
             commands.add(self.EARLY, command)
+            self.assertEqual(commands.request_confirmation(), processor_wire.RequestConfirmation(number))
+            if number % 2:
+                commands.acknowledge(self.EARLY, number)
+            else:
+                commands.link_lost(self.EARLY)
+
+    def test_commands_are_lost_with_those_of_earlier_links(self) -> None:
+        commands = unacknowledged.UnacknowledgedCommands()
+        commands.add(self.EARLY, self.START)
+        commands.request_confirmation()
         commands.link_lost(self.EARLY)
-        commands.acknowledge(self.EARLY)  # of the previous link; acknowledges nothing here
         commands.add(self.EARLY, messages.CallResult("called", b""))
+        commands.request_confirmation()
+        commands.acknowledge(self.EARLY, 1)  # of the previous link; acknowledges nothing here
         commands.link_lost(self.LOST_AT)
         self.assertEqual(commands.take_possibly_lost(), {"run", "called"})
 
@@ -92,13 +118,16 @@
             commands = unacknowledged.UnacknowledgedCommands()
             for number in range(2 * unacknowledged.MAX_COMMANDS):
                 commands.add(self.LATE, messages.StartRun(str(number), 0, b""))
-                commands.add(self.LATE, self.READ_GAUGES)
-                if answers:
-                    commands.acknowledge(self.LATE)
+                request = commands.request_confirmation()
+                if answers and request:
+                    commands.acknowledge(self.LATE, request.number)
             kept = len(commands.sent) + len(commands.recently_acknowledged)
             self.assertLessEqual(kept, unacknowledged.MAX_COMMANDS)
             if answers:
-                commands.acknowledge(self.LOST_AT + 1.0)
+                commands.add(self.LOST_AT, self.START)
+                request = commands.request_confirmation()
+                assert request
+                commands.acknowledge(self.LOST_AT + 1.0, request.number)
                 self.assertEqual(len(commands.recently_acknowledged), 0)
 
     async def test_command_that_overflows_the_outbox_is_lost_with_the_link(self) -> None:
--- a/thymeyoke/server/processor.py
+++ b/thymeyoke/server/processor.py
@@ -17,12 +17,18 @@
     Command,
     CommandsDiscarded,
     Event,
-    GaugesRead,
     ProcessorDisconnected,
     ProcessorReady,
     ProcessorSynced,
 )
-from thymeyoke.server.processor_wire import InvalidLineError, RequestSync, decode, encode, encode_hello
+from thymeyoke.server.processor_wire import (
+    CommandsConfirmed,
+    InvalidLineError,
+    RequestSync,
+    decode,
+    encode,
+    encode_hello,
+)
 from thymeyoke.server.unacknowledged import RUN_COMMANDS, UnacknowledgedCommands
 from thymeyoke.slow_start.connector import ConnectorStatus
 from thymeyoke.slow_start.controller import StartupController
@@ -31,6 +37,7 @@
 READ_BYTES = 1 << 16
 MAX_LINE_BYTES = 1 << 16
 CONNECT_TIMEOUT_SECONDS = 1.0
+CONFIRMATION_TIMEOUT_SECONDS = 0.25
 
 
 class ProcessorClient:
@@ -51,6 +58,7 @@
         self.outbox, self.outbox_reader = anyio.create_memory_object_stream[Command](OUTBOX_SIZE)
         self.scope = anyio.CancelScope()  # of the current link
         self.ready, self.synced = anyio.Event(), anyio.Event()  # of the current link
+        self.confirmed = anyio.Event()  # set once all commands that were written are acknowledged
         self.link = self.cursor = 0  # numbers of the current link and of the last notice that was read
         self.unacknowledged = UnacknowledgedCommands()
         self.discarded: set[str] = set()  # requests whose commands were queued for a link and never written
@@ -132,13 +140,29 @@
             await stream.send(encode(RequestSync(self.link), self.class_names))
             await self.synced.wait()
             async for command in self.outbox_reader:
-                batch, now = [command, *take_all(self.outbox_reader)], clock()
-                for each in batch:
-                    self.unacknowledged.add(now, each)
-                await stream.send(b"".join(encode(each, self.class_names) for each in batch))
+                await self._write_batch(stream, [command, *take_all(self.outbox_reader)])
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             self.scope.cancel()
 
+    async def _write_batch(self, stream: ByteStream, commands: list[Command]) -> None:
+        """Write commands and wait until they are confirmed.
+
+        A loss of the link then leaves one batch in doubt; the commands that wait were not received.
+        """
+        now = clock()
+        for command in commands:
+            self.unacknowledged.add(now, command)
+        lines = [encode(command, self.class_names) for command in commands]
+        confirmation = self.unacknowledged.request_confirmation()
+        if confirmation is None:
+            return await stream.send(b"".join(lines))
+        self.confirmed = anyio.Event()
+        lines.append(encode(confirmation, self.class_names))
+        await stream.send(b"".join(lines))
+        with anyio.move_on_after(CONFIRMATION_TIMEOUT_SECONDS) as timeout:
+            await self.confirmed.wait()
+        logs.counters["processor_confirmations_late"] += timeout.cancelled_caught
+
     async def _read(self, stream: ByteStream) -> None:
         incomplete = b""
         try:
@@ -164,8 +188,11 @@
             case ProcessorReady():
                 self.connector.ready(clock())
                 self.ready.set()
-            case GaugesRead():
-                self.unacknowledged.acknowledge(clock())
+            case CommandsConfirmed(number):
+                self.unacknowledged.acknowledge(clock(), number)
+                if not self.unacknowledged.sent:
+                    self.confirmed.set()
+                return
             case ProcessorSynced(link):
                 await self._report_discarded()
                 event = ProcessorSynced(link, self.unacknowledged.take_possibly_lost())
--- a/thymeyoke/server/processor_wire.py
+++ b/thymeyoke/server/processor_wire.py
@@ -42,6 +42,7 @@
 }
 GAUGES_TICKET = "gauges"
 SYNC_TICKET = "sync"  # followed by the link's number
+CONFIRMATION_TICKET = "confirm"  # followed by the request's number
 MILLISECONDS_PER_SECOND = 1000
 MAX_QUOTED_BYTES = 80  # of a line that an error message shows
 
@@ -56,11 +57,23 @@
     link: int
 
 
+class RequestConfirmation(NamedTuple):
+    """Request a confirmation that the commands written before were received."""
+
+    number: int
+
+
+class CommandsConfirmed(NamedTuple):
+    """The processor has received the commands written before the request with this number."""
+
+    number: int
+
+
 class Notice(NamedTuple):
     """One line from the processor."""
 
     cursor: int  # the line's number; 0 if it has none
-    event: Event | None  # None if the dispatcher does not need it
+    event: Event | CommandsConfirmed | None  # None if nobody needs it
 
 
 def encode_hello(cursor: int) -> bytes:
@@ -68,7 +81,7 @@
     return orjson.dumps({"event": "hello", "cursor": cursor}) + b"\n"
 
 
-def encode(command: Command | RequestSync, class_names: list[str]) -> bytes:
+def encode(command: Command | RequestSync | RequestConfirmation, class_names: list[str]) -> bytes:
     """Encode a command as a line; `class_names` holds the request classes by index."""
     line: dict[str, Any]
     match command:
@@ -87,6 +100,8 @@
             line = {"event": "usage", "ticket": GAUGES_TICKET}
         case RequestSync(link):
             line = {"event": "usage", "ticket": f"{SYNC_TICKET}{link}"}
+        case RequestConfirmation(number):
+            line = {"event": "usage", "ticket": f"{CONFIRMATION_TICKET}{number}"}
     return orjson.dumps(line) + b"\n"
 
 
@@ -100,7 +115,7 @@
         raise InvalidLineError(reason) from None
 
 
-def _decode_event(fields: dict[str, Any], link: int) -> Event | None:
+def _decode_event(fields: dict[str, Any], link: int) -> Event | CommandsConfirmed | None:
     match fields["event"]:
         case "hi":
             return ProcessorReady(fields["fate"] == "COLD", fields["lasted"] / MILLISECONDS_PER_SECOND)
@@ -113,6 +128,8 @@
             return DependencyCallRequested(fields["handle"], body)
         case "used" if fields.get("ticket") == f"{SYNC_TICKET}{link}":
             return ProcessorSynced(link)
+        case "used" if str(fields.get("ticket")).startswith(CONFIRMATION_TICKET):
+            return CommandsConfirmed(int(fields["ticket"].removeprefix(CONFIRMATION_TICKET)))
         case "used":
             return GaugesRead(tuple(float(value) for value in fields["figures"]))
         case "reject":
--- a/thymeyoke/server/unacknowledged.py
+++ b/thymeyoke/server/unacknowledged.py
@@ -9,11 +9,10 @@
     CallResult,
     Command,
     ContinueWithoutCall,
-    ReadGauges,
     ResumeRun,
     StartRun,
 )
-from thymeyoke.server.processor_wire import RequestSync
+from thymeyoke.server.processor_wire import RequestConfirmation
 
 MAX_COMMANDS = 4096  # older commands count as received
 RUN_COMMANDS = StartRun, CallResult, ResumeRun, ContinueWithoutCall  # stops are sent again on each new link
@@ -24,42 +23,53 @@
     """A command that was written to the link."""
 
     at: float
-    id: str | None  # of the request; None for a reading of the gauges
+    id: str  # of the request
 
 
 class UnacknowledgedCommands:
     """Commands that the processor has not acknowledged.
 
-    The processor reads commands in order and answers each gauge reading, so an answer acknowledges all
-    commands written before it. Later commands may be lost with the link. So may those written within
-    `POSSIBLY_LOST_SECONDS` before its loss, even if acknowledged.
+    The processor reads commands in order and answers each request for a confirmation, so the answer
+    acknowledges all commands written before the request. Later commands may be lost with the link. So may
+    those written within `POSSIBLY_LOST_SECONDS` before its loss, even if acknowledged.
     """
 
     def __init__(self) -> None:
         """Create an empty record."""
-        self.sent: deque[SentCommand] = deque(maxlen=MAX_COMMANDS)
+        self.sent: deque[SentCommand | RequestConfirmation] = deque(maxlen=MAX_COMMANDS)
         # Acknowledged within the last POSSIBLY_LOST_SECONDS.
         self.recently_acknowledged: deque[SentCommand] = deque(maxlen=MAX_COMMANDS)
         self.possibly_lost: set[str] = set()  # request ids; cleared by `take_possibly_lost`
+        self.confirmations = 0  # requested so far, on all links
 
-    def add(self, now: float, command: Command | RequestSync) -> None:
+    def add(self, now: float, command: Command) -> None:
         """Record a command just before it is written."""
-        if isinstance(command, ReadGauges):
-            self.sent.append(SentCommand(now, None))
-        elif isinstance(command, RUN_COMMANDS):
+        if isinstance(command, RUN_COMMANDS):
             self.sent.append(SentCommand(now, command.id))
 
-    def acknowledge(self, now: float) -> None:
-        """Handle the answer to the oldest gauge reading."""
-        while self.sent and (oldest := self.sent.popleft()).id is not None:
-            self.recently_acknowledged.append(oldest)
+    def request_confirmation(self) -> RequestConfirmation | None:
+        """The request to write behind the recorded commands, or None if all are acknowledged."""
+        if not self.sent:
+            return None
+        self.confirmations += 1
+        request = RequestConfirmation(self.confirmations)
+        self.sent.append(request)
+        return request
+
+    def acknowledge(self, now: float, number: int) -> None:
+        """Handle the answer to a request for a confirmation, which may be of an earlier link."""
+        if RequestConfirmation(number) not in self.sent:
+            return
+        while (oldest := self.sent.popleft()) != RequestConfirmation(number):
+            if isinstance(oldest, SentCommand):
+                self.recently_acknowledged.append(oldest)
         while self.recently_acknowledged and self.recently_acknowledged[0].at < now - POSSIBLY_LOST_SECONDS:
             self.recently_acknowledged.popleft()
 
     def link_lost(self, now: float) -> None:
         """Handle the loss of the link."""
         recent = [one for one in self.recently_acknowledged if one.at >= now - POSSIBLY_LOST_SECONDS]
-        self.possibly_lost.update(one.id for one in (*self.sent, *recent) if one.id is not None)
+        self.possibly_lost.update(one.id for one in (*self.sent, *recent) if isinstance(one, SentCommand))
         self.sent.clear()
         self.recently_acknowledged.clear()
 
