A link whose address has changed closes once its commands are confirmed

Cause: the app server closed its link at once, and held what it had just written for possibly lost: the same cause on a related path. A link that is closed here loses no command that was confirmed. A batch that is taken after the close is never written. Tests: test_link_loss, LinkMove: confirmed (fails without the change: the new address is called while a start is on its way) and not confirmed.

--- a/tests/test_link_loss.py
+++ b/tests/test_link_loss.py
@@ -7,6 +7,7 @@
 from typing import Any, cast
 from unittest import mock
 
+import anyio
 import orjson
 from anyio.abc import SocketStream
 
@@ -15,9 +16,11 @@
 from tests.app_server import running_server, start_file_with, until
 from thymeyoke.admission import actions
 from thymeyoke.admission.events import Outcome
+from thymeyoke.configuration import start_file
 from thymeyoke.runtime import logs
 from thymeyoke.server import messages, processor, unconfirmed_runs
 
+NAMES = start_file.read_request_names(start_file_with()["settings"])
 KEY = {"replay": "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"}
 SERVED, FAILED = ["served"], ["failed"]
 NOT_IDEMPOTENT = 2  # request class of the settings below
@@ -150,6 +153,63 @@
             self.assertEqual((retried[1][0], len(work.begun)), (b"did it", 1))
 
 
+class ConfirmingLate(Processor):
+    """It confirms no command before it is told to."""
+
+    def __init__(self) -> None:
+        super().__init__(calls=0, held=True)
+        self.may_confirm = anyio.Event()
+
+    async def _send(self, stream: SocketStream, data: bytes) -> None:
+        if b'"confirm' in data:
+            await self.may_confirm.wait()
+        await super()._send(stream, data)
+
+
+class LinkMove(unittest.IsolatedAsyncioTestCase):
+    async def move(self, *, is_confirmed: bool) -> list[messages.Event]:
+        """Move a link with one command on its way and one that waits; return the events of the new link."""
+        old, new = ConfirmingLate(), Processor()
+        inbox, events = anyio.create_memory_object_stream[messages.Event](16)
+        async with anyio.create_task_group() as tasks:
+            for listener in (old, new):
+                await tasks.start(listener.run)
+            address = start_file.Address("127.0.0.1", old.port)
+            client = processor.ProcessorClient(address, NAMES, inbox)
+            with inbox, events, client.outbox, client.outbox_reader:
+                tasks.start_soon(client.run)
+                while not isinstance(await events.receive(), messages.ProcessorSynced):
+                    pass
+                client.send(messages.StartRun("1", 0, b""))
+                await old.until(lambda: old.begun)
+                client.send(messages.AddressChanged(start_file.Address("127.0.0.1", new.port)))
+                client.send(messages.StartRun("2", 0, b""))
+                await anyio.sleep(0.05)
+                if is_confirmed:
+                    self.assertEqual(new.heard, [])
+                    old.may_confirm.set()
+                moved = [await events.receive()]
+                while not isinstance(moved[-1], messages.ProcessorSynced):
+                    moved.append(await events.receive())
+                tasks.cancel_scope.cancel()
+        self.assertEqual(old.begun, ["1"])
+        return moved
+
+    async def test_link_moves_once_its_commands_are_confirmed(self) -> None:
+        """Guards against commands in doubt, or sent twice, after a change of the processor's address."""
+        with mock.patch.object(processor, "CONFIRMATION_TIMEOUT_SECONDS", 30.0):
+            moved = await self.move(is_confirmed=True)
+        discarded = messages.CommandsDiscarded(frozenset("2"))
+        self.assertEqual(moved[-2:], [discarded, messages.ProcessorSynced(2, frozenset())])
+
+    async def test_link_moves_though_its_commands_are_not_confirmed(self) -> None:
+        """The old address may take nothing any more; what was written to it is in doubt."""
+        with mock.patch.object(processor, "CONFIRMATION_TIMEOUT_SECONDS", 0.1):
+            moved = await self.move(is_confirmed=False)
+        discarded = messages.CommandsDiscarded(frozenset("2"))
+        self.assertEqual(moved[-2:], [discarded, messages.ProcessorSynced(2, frozenset("1"))])
+
+
 class LinkLossTestCase(unittest.TestCase):
     def setUp(self) -> None:
         self.here = SimulatedDispatcher(2.0, settings())
--- a/thymeyoke/server/processor.py
+++ b/thymeyoke/server/processor.py
@@ -60,14 +60,15 @@
         self.ready, self.synced = anyio.Event(), anyio.Event()  # of the current link
         self.confirmed = anyio.Event()  # set once all commands that were written are acknowledged
         self.link = self.cursor = 0  # numbers of the current link and of the last notice that was read
+        self.is_moving = False  # the current link closes, as its address has changed
+        self.is_writing = False  # commands are written or wait for their confirmation
         self.unacknowledged = UnacknowledgedCommands()
         self.discarded: set[str] = set()  # requests whose commands were queued for a link and never written
 
     def send(self, command: Command | AddressChanged) -> None:
         """Queue a command; if the outbox is full, close the link and open a new one."""
-        if isinstance(command, AddressChanged):  # the next link continues after the last notice read
-            self.address = command.address
-            return self.scope.cancel()
+        if isinstance(command, AddressChanged):
+            return self._move(command.address)
         try:
             self.outbox.send_nowait(command)
         except anyio.WouldBlock:
@@ -75,6 +76,15 @@
             self._discard([command])
             self.scope.cancel()
 
+    def _move(self, address: Address) -> None:
+        """Open a link to a new address, which continues after the last notice read.
+
+        The current link closes once the commands that were written to it are confirmed.
+        """
+        self.address, self.is_moving = address, True
+        if not self.is_writing:
+            self.scope.cancel()
+
     def _discard(self, commands: list[Command]) -> None:
         self.discarded.update(command.id for command in commands if isinstance(command, RUN_COMMANDS))
 
@@ -103,6 +113,7 @@
     async def _run_link(self, stream: ByteStream) -> None:
         self.connector.connected(clock())
         self.link += 1
+        self.is_moving = self.is_writing = False
         try:
             await self._serve_link(stream)
         except Exception as error:
@@ -110,7 +121,7 @@
             logs.log_event(logging.ERROR, "processor_link_failed", error)
         finally:
             await anyio.aclose_forcefully(stream)
-        self.unacknowledged.link_lost(clock())
+        self.unacknowledged.link_lost(clock(), is_broken=not self.is_moving)
         logs.counters["processor_links_lost"] += 1
         backoff = self.connector.connection_lost(clock())
         await post(self.dispatcher, ProcessorDisconnected())
@@ -140,7 +151,11 @@
             await stream.send(encode(RequestSync(self.link), self.class_names))
             await self.synced.wait()
             async for command in self.outbox_reader:
+                self.is_writing = True
                 await self._write_batch(stream, [command, *take_all(self.outbox_reader)])
+                self.is_writing = False
+                if self.is_moving:
+                    self.scope.cancel()
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             self.scope.cancel()
 
@@ -149,6 +164,8 @@
 
         A loss of the link then leaves one batch in doubt; the commands that wait were not received.
         """
+        if self.scope.cancel_called:  # after the commands were taken
+            return self._discard(commands)
         now = clock()
         for command in commands:
             self.unacknowledged.add(now, command)
--- a/thymeyoke/server/unacknowledged.py
+++ b/thymeyoke/server/unacknowledged.py
@@ -66,8 +66,10 @@
         while self.recently_acknowledged and self.recently_acknowledged[0].at < now - POSSIBLY_LOST_SECONDS:
             self.recently_acknowledged.popleft()
 
-    def link_lost(self, now: float) -> None:
-        """Handle the loss of the link."""
+    def link_lost(self, now: float, *, is_broken: bool = True) -> None:
+        """Handle the end of the link; one that is closed here loses no acknowledged command."""
+        if not is_broken:
+            self.recently_acknowledged.clear()
         recent = [one for one in self.recently_acknowledged if one.at >= now - POSSIBLY_LOST_SECONDS]
         self.possibly_lost.update(one.id for one in (*self.sent, *recent) if isinstance(one, SentCommand))
         self.sent.clear()
