What is reported of runs has a module of its own beside the dispatcher

Moved, not reworded; nothing else changes. Tests: test_link_loss, test_dispatcher, test_crossing_messages, test_idempotency pass as they were.

--- a/thymeyoke/server/dispatcher.py
+++ b/thymeyoke/server/dispatcher.py
@@ -18,7 +18,7 @@
 from thymeyoke.admission.actions import Action
 from thymeyoke.admission.controller import AdmissionController
 from thymeyoke.admission.events import Outcome
-from thymeyoke.admission.settings import AdmissionSettings, StopEffect
+from thymeyoke.admission.settings import AdmissionSettings
 from thymeyoke.runtime import logs
 from thymeyoke.runtime.clock import clock
 from thymeyoke.runtime.extensions import Extension, ServerStatus, StatusQuery, Verdict
@@ -29,7 +29,7 @@
 from thymeyoke.server.drain import DrainPlan, DrainState, plan_drain
 from thymeyoke.server.endpoint_registry import EndpointRegistryClient
 from thymeyoke.server.extension_hub import ExtensionHub
-from thymeyoke.server.idempotency import IdempotencyCache, Result
+from thymeyoke.server.idempotency import IdempotencyCache
 from thymeyoke.server.in_flight import InFlightRequest, InFlightRequests
 from thymeyoke.server.intake import RequestIntake
 from thymeyoke.server.listener import Listener
@@ -37,10 +37,8 @@
     AbandonCall,
     AllConnectionsClosed,
     CallEnded,
-    CallResult,
     ClientGone,
     CloseListener,
-    Command,
     CommandRejected,
     CommandsDiscarded,
     DependencyCallRequested,
@@ -54,12 +52,11 @@
     RequestReceived,
     RunEnded,
     ShutdownRequested,
-    StartRun,
 )
 from thymeyoke.server.processor import ProcessorClient
 from thymeyoke.server.processor_commands import ProcessorCommands
+from thymeyoke.server.run_events import RunEvents
 from thymeyoke.server.timers import GAUGE_LEAD_SECONDS, PolicyTimers
-from thymeyoke.server.unconfirmed_runs import UnconfirmedRuns
 
 MAILBOX_SIZE = 4096
 COUNTERS_PERIOD_SECONDS = 10.0
@@ -91,7 +88,6 @@
         )
         self.retained = IdempotencyCache(settings.longest_client_timeout, results_limit)
         self.intake = RequestIntake(self.settings, self.in_flight, self.retained, self.extensions)
-        self.unconfirmed = UnconfirmedRuns(len(self.classes), settings.terms.answer_slack)
         self.timers = PolicyTimers()
         self.gauges: tuple[float, ...] = ()
         self.drain = DrainState()
@@ -109,6 +105,9 @@
             self.settings, self.in_flight, self.retained, self.timers, self.commands,
             Peers(listener, dependency, endpoint_registry), self._reuse_ended,
         )  # fmt: skip
+        self.runs = RunEvents(
+            self.settings, self.in_flight, self.retained, self.commands, self.executor, self._guarded
+        )
 
     def set_extensions(self, extensions: tuple[Extension, ...]) -> None:
         """Replace the set of active extensions."""
@@ -138,7 +137,7 @@
 
     def next_moment(self) -> float:
         """The time of the next wake-up if no event arrives before it."""
-        moments = [self.next_counters_at, *self.timers.next_moments(), *self.unconfirmed.next_moments()]
+        moments = [self.next_counters_at, *self.timers.next_moments(), *self.runs.unconfirmed.next_moments()]
         moments += [heap[0][0] for heap in (self.in_flight.deadlines,) if heap]
         moments += self.drain.next_moments(self.in_flight.unanswered > 0)
         if self.drain.plan and self.extensions.observers:
@@ -190,27 +189,23 @@
             case ClientGone():
                 self._client_gone(now, event)
             case RunEnded():
-                self._run_ended(now, event)
-            case DependencyCallRequested(id, body):
-                if (request := self.in_flight.by_id.get(id)) and self.controller:
-                    self.unconfirmed.notice_received(now, request)
-                    request.call_body = body
-                    self.controller.waits_for_dependency(now, id)
+                self.runs.ended(now, event)
+            case DependencyCallRequested():
+                self.runs.call_requested(now, event)
             case CallEnded():
-                self._call_ended(now, event)
+                self.runs.call_ended(now, event)
             case GaugesRead(values):
                 self.gauges = values
             case ProcessorReady():
                 self._processor_ready(now, event)
-            case CommandsDiscarded(ids):
-                known = [self.in_flight.by_id[id] for id in ids if id in self.in_flight.by_id]
-                self.commands.discarded(known)
+            case CommandsDiscarded():
+                self.runs.commands_discarded(event)
             case ProcessorSynced():
-                self._processor_synced(now, event)
+                self.runs.processor_synced(now, event)
             case ProcessorDisconnected():
                 self.commands.disconnected()
             case CommandRejected():
-                self._command_rejected(now, event)
+                self.runs.command_rejected(now, event)
             case ShutdownRequested(at):
                 self._begin_drain(now, at)
             case StatusQuery(receiver):
@@ -225,28 +220,11 @@
         if event.is_cold:
             self.warm_at = now - event.age + overload.warm_up_timeout
         self.controller = AdmissionController(now - event.age, self.settings._replace(overload=overload))
+        self.runs.controller = self.controller
         logs.log_event(logging.INFO, "processor_ready", is_cold=event.is_cold, age_seconds=event.age)
         if self.drain.plan:  # shutdown was requested before the controller existed
             self._announce_shutdown(self.controller, self.drain.plan)
 
-    def _processor_synced(self, now: float, event: ProcessorSynced) -> None:
-        unconfirmed = self.commands.synced(now, event, self.in_flight.by_id.values())
-        self.unconfirmed.add(now, unconfirmed)
-        logs.counters["runs_unconfirmed"] += len(unconfirmed)
-
-    def _give_run_up(self, now: float, request: InFlightRequest) -> None:
-        """End a run whose last command was lost with a link, as far as is known; its key stays retained."""
-        id, command = request.header.id, request.last_command
-        logs.counters["runs_given_up"] += 1
-        silent_seconds = now - request.command_sent_at
-        logs.log_peer_fault(
-            "run_given_up", id=id, command=type(command).__name__, silent_seconds=silent_seconds
-        )
-        request.is_paused = False
-        self._run_ended(now, RunEnded(id, Outcome.STOPPED, b""))
-        if self.settings.machine.stop_effect is not StopEffect.NONE:
-            self.commands.stop(request)
-
     def _status(self) -> ServerStatus:
         names = self.settings.machine.gauges
         busy = self.gauges[names.index("busy")] if self.gauges and "busy" in names else None
@@ -272,65 +250,11 @@
         self.intake.client_gone(request)
         self.controller.client_gone(now, event.id)
 
-    def _run_ended(self, now: float, event: RunEnded) -> None:
-        id, outcome, body, run_time = event
-        request = self.in_flight.by_id.get(id)
-        if request is None or self.controller is None:
-            logs.counters["unknown_runs_ended"] += 1
-            return self._late_run_ended(now, event)
-        request.run_time = max(request.run_time, run_time)  # cumulative; reported at each stop and at the end
-        self.unconfirmed.notice_received(now, request)
-        if outcome is Outcome.STOPPED and request.is_paused and not request.is_answered:  # will be resumed
-            self._guarded(self.controller.run_ended, now, id, outcome)
-            return
-        request.is_over = True
-        logs.counters[f"runs_{outcome.value}"] += 1
-        is_ok = outcome is Outcome.OK
-        if not request.is_answered:
-            self.in_flight.answer(request, Verdict.SERVED if is_ok else Verdict.FAILED, body)
-        self.in_flight.drop_if_over(request)
-        self._guarded(self.controller.run_ended, now, id, outcome)
-        result = Result(body if is_ok else None, now)
-        self.executor.answer_repeats(now, id, self.retained.complete(id, result), result)
-
-    def _late_run_ended(self, now: float, event: RunEnded) -> None:
-        """Answer later retries of a request whose run was given up with the result that it had after all."""
-        retained = self.retained.by_id.get(event.id)
-        if event.outcome is Outcome.OK and retained and retained.result and retained.result.body is None:
-            self.retained.complete(event.id, Result(event.result, now))
-
     def _reuse_ended(self, now: float, id: str, outcome: Outcome) -> None:
         """Report a request that was answered with the result of another request."""
         if self.controller:
             self._guarded(self.controller.run_ended, now, id, outcome)
 
-    def _call_ended(self, now: float, event: CallEnded) -> None:
-        request = self.in_flight.by_id.get(event.id)
-        if request is None or not request.is_calling or self.controller is None:
-            return
-        request.is_calling = False
-        logs.counters[f"calls_{event.outcome.value}"] += 1
-        if event.outcome is Outcome.OK:
-            self.commands.send(now, request, CallResult(event.id, event.body))
-        self.controller.call_ended(now, event.id, event.outcome, event.took)
-
-    def _command_rejected(self, now: float, event: CommandRejected) -> None:
-        """Handle a command that the processor rejected.
-
-        A rejected start ends the run as NOT_STARTED, so it adds no sample to the run times of its class, and
-        its idempotency key is released. After any other rejected command the run continues or has ended.
-
-        A start that was sent on two links may have run, so its key stays retained and its retries fail.
-        """
-        id, command = event
-        logs.counters["commands_rejected"] += 1
-        logs.log_peer_fault("command_rejected", id=id, command=_name_of(command))
-        request = self.in_flight.by_id.get(id)
-        if request and isinstance(request.last_command, StartRun) and command is StartRun:
-            self._run_ended(now, RunEnded(id, Outcome.NOT_STARTED, b""))
-            if not request.was_resent:
-                self.executor.release_key(now, id)
-
     def _begin_drain(self, now: float, at: float) -> None:
         """Begin the drain; all its times are relative to `at`, when the shutdown notice arrived."""
         if self.drain.plan:
@@ -360,8 +284,7 @@
     def _handle_expired(self, now: float) -> None:
         self.retained.purge(now)
         self._expire_timers(now)
-        for request in self.unconfirmed.take_expired(now):
-            self._give_run_up(now, request)
+        self.runs.give_up_silent(now)
         for request in self.in_flight.take_expired(now):
             self._fail_unanswered(now, request)
         if self.drain.take_listener_close(now):
@@ -410,7 +333,3 @@
             )
             if not own_events and not may_lead_on:
                 break
-
-
-def _name_of(command: type[Command] | None) -> str | None:
-    return command.__name__ if command else None
