The silence of a run that was given up is not learned as a response time

Cause: giving a run up goes through the handler of its end, which took the time since its last command for a response: each loss made the next silent run keep its core half as long again. Change: the command is forgotten before. Test: test_link_loss, three losses in a row; failed without the change (seen), passes now.

--- a/tests/test_link_loss.py
+++ b/tests/test_link_loss.py
@@ -330,6 +330,15 @@
         self.here.hear(self.here.arrive("3", KEYED))
         self.assertEqual((self.here.verdicts("3"), self.begun()), ([FAILED], ["1"]))
 
+    def test_silence_of_a_run_that_was_given_up_is_no_response(self) -> None:
+        """Each loss used to raise the time after which the next silent run was given up."""
+        self.learn_response_time(NOT_IDEMPOTENT)
+        for number in range(3):
+            self.here.hear(self.here.arrive(f"{number}", NOT_IDEMPOTENT))
+            self.lose_link(f"{number}", link=2 + number)
+            self.here.run_until(self.here.now + 1.1 * SILENCE_SECONDS)
+            self.assertEqual((self.here.verdicts(f"{number}"), self.running()), ([FAILED], 0))
+
     def test_result_of_a_run_that_was_given_up_answers_later_retries(self) -> None:
         self.learn_response_time(KEYED)
         self.here.hear(self.here.arrive("1", KEYED))
--- a/thymeyoke/server/run_events.py
+++ b/thymeyoke/server/run_events.py
@@ -129,6 +129,7 @@
         logs.counters["runs_given_up"] += 1
         silent_seconds = now - request.command_sent_at
         logs.log_peer_fault("run_given_up", id=id, command=command, silent_seconds=silent_seconds)
+        request.last_command = None  # it had no response
         request.is_paused = False
         self.ended(now, RunEnded(id, Outcome.STOPPED, b""))
         if self.settings.machine.stop_effect is not StopEffect.NONE:
