--- a/thymeyoke/server/client_connection.py
+++ b/thymeyoke/server/client_connection.py
@@ -27,7 +27,6 @@
     RequestReceived,
     ShutdownNotice,
 )
-from thymeyoke.server.socket_reader import SocketReader
 
 MAX_OPEN_REQUESTS = 32  # per connection
 OUTBOX_SIZE = 4 * MAX_OPEN_REQUESTS  # answers that a client may leave unread
@@ -39,16 +38,16 @@
 class ClientConnection:
     """One client connection; entries of `open_requests` go with the answer, a cancel or the connection.
 
-    It reads and writes its socket directly instead of through a stream. Data is either in the socket or in
-    the reader, where `is_quiet` finds it, or has been decoded and is handled in the same step. In a stream's
-    buffer a request would be invisible, and the connection would appear unused.
+    It reads and writes its socket directly instead of through a stream. Data is either in the socket, where
+    `is_quiet` finds it, or has been decoded and is handled in the same step. In a stream's buffer a request
+    would be invisible, and the connection would appear unused.
     """
 
     def __init__(
         self, accepted: socket.socket, names: RequestNames, dispatcher: MemoryObjectSendStream[Event]
     ) -> None:
         self.socket, self.dispatcher = accepted, dispatcher
-        self.reader, self.socket_reader = routers_wire.RequestReader(names), SocketReader(accepted)
+        self.reader = routers_wire.RequestReader(names)
         self.open_requests: dict[int, str | None] = {}  # request ids by number; None for a health check
         self.outbox, self.outbox_reader = anyio.create_memory_object_stream[ClientMessage | None](OUTBOX_SIZE)
         self.scope = anyio.CancelScope()
@@ -98,7 +97,6 @@
         two loop iterations later, and a burst of accepts would run out of descriptors.
         """
         self.scope.cancel()
-        self.socket_reader.stop()
         self._finish_sending()
         self._discard_unread()
         anyio.notify_closing(self.socket)
@@ -119,7 +117,6 @@
         answer can be written must not be handled.
         """
         lost, self.open_requests = [id for id in self.open_requests.values() if id], {}
-        self.socket_reader.stop()
         self._finish_sending()
         self.outbox_reader.close()
         self.outbox.close()
@@ -148,8 +145,6 @@
 
     def is_quiet(self) -> bool:
         """Whether there is no unread data, in which a request could be lost when the connection is closed."""
-        if not self.socket_reader.is_empty:
-            return False
         if self.socket.fileno() < 0:
             return True
         poll = select.poll()
@@ -158,18 +153,26 @@
 
     async def _read(self) -> None:
         try:
-            while data := await self.socket_reader.take():
+            while data := await self._receive():
                 self.used_at = clock()
                 await self._feed(data)
             self.has_ended = True  # open requests may still be answered
             self.send(None)
-        except OSError:
+        except (OSError, anyio.ClosedResourceError):
             self.scope.cancel()
         except InvalidFrameError as error:
             logs.counters["invalid_frames"] += 1
             logs.log_peer_fault("invalid_frame_received", reason=str(error))
             self.scope.cancel()
 
+    async def _receive(self) -> bytes:
+        """Receive the next chunk, or b"" at end of file; raises `OSError` if the connection is lost."""
+        while self.socket.fileno() >= 0:  # it may be evicted before its task begins
+            await anyio.wait_readable(self.socket)
+            with suppress(BlockingIOError):
+                return self.socket.recv(READ_BYTES)
+        raise anyio.ClosedResourceError
+
     async def _feed(self, data: bytes) -> None:
         messages = self.reader.feed(data)
         self.is_posting = True
