A run in doubt is not given up while there is no link to hear of it

Cause: the time after which a silent run is given up went on during the next loss of the link, while its notice waited at the processor: with an outage longer than the runs of its class a request failed whose run had ended well. Change: while there is no link a run waits until its request is overdue; the time starts anew when the next link is synced. Test: test_link_loss, outages shorter and longer than the time; fails without the change (both, seen), passes now. Found by reading.

--- a/tests/test_link_loss.py
+++ b/tests/test_link_loss.py
@@ -361,6 +361,23 @@
         self.here.hear(messages.RunEnded("1", Outcome.OK, b"made"))
         self.assertEqual((self.here.verdicts("1"), self.running()), ([SERVED], 0))
 
+    def test_silent_run_is_not_given_up_while_there_is_no_link(self) -> None:
+        """Its notice waits at the processor; used to fail requests whose run had ended well."""
+        for outage in (0.5 * SILENCE_SECONDS, 2 * SILENCE_SECONDS):
+            with self.subTest(outage=outage):
+                self.setUp()
+                self.learn_response_time(KEYED)
+                self.here.hear(self.here.arrive("1", KEYED))
+                self.lose_link("1")
+                self.here.run_until(self.here.now + 0.5 * SILENCE_SECONDS)
+                self.here.hear(messages.ProcessorDisconnected())
+                self.here.run_until(self.here.now + outage)
+                self.here.hear(messages.ProcessorSynced(3))
+                self.here.run_until(self.here.now + 0.9 * SILENCE_SECONDS)
+                self.assertEqual((self.here.verdicts("1"), self.running()), ([[]], 1))
+                self.here.run_until(self.here.now + 0.2 * SILENCE_SECONDS)
+                self.assertEqual((self.here.verdicts("1"), self.running()), ([FAILED], 0))
+
     def test_without_known_response_times_a_silent_run_keeps_its_core_until_its_deadline(self) -> None:
         """One quick response tells nothing of the next run."""
         self.here.hear(self.here.arrive("before", KEYED, idempotency_key=None))
--- a/thymeyoke/server/dispatcher.py
+++ b/thymeyoke/server/dispatcher.py
@@ -203,7 +203,7 @@
             case ProcessorSynced():
                 self.runs.processor_synced(now, event)
             case ProcessorDisconnected():
-                self.commands.disconnected()
+                self.runs.processor_disconnected(now)
             case CommandRejected():
                 self.runs.command_rejected(now, event)
             case ShutdownRequested(at):
--- a/thymeyoke/server/run_events.py
+++ b/thymeyoke/server/run_events.py
@@ -115,9 +115,14 @@
     def processor_synced(self, now: float, event: ProcessorSynced) -> None:
         """Send on a new link what did not arrive, and watch the runs of which this is unknown."""
         unconfirmed = self.commands.synced(now, event, self.in_flight.by_id.values())
-        self.unconfirmed.add(now, unconfirmed)
+        self.unconfirmed.link_synced(now, unconfirmed)
         logs.counters["runs_unconfirmed"] += len(unconfirmed)
 
+    def processor_disconnected(self, now: float) -> None:
+        """Hold commands until a new link is synced."""
+        self.commands.disconnected()
+        self.unconfirmed.link_lost(now)
+
     def give_up_silent(self, now: float) -> None:
         """Give up the runs that have been silent for too long since a loss of the link."""
         for request in self.unconfirmed.take_expired(now):
--- a/thymeyoke/server/unconfirmed_runs.py
+++ b/thymeyoke/server/unconfirmed_runs.py
@@ -65,7 +65,8 @@
     """Runs that wait for a notice after a loss of the link; `answer_slack` is in seconds.
 
     A response is the time from a command to the next notice of its run. A run is given up once it has been
-    silent for longer than the responses of its class, and at the latest when its request is overdue.
+    silent on a synced link for longer than the responses of its class, and at the latest when its request is
+    overdue.
     """
 
     def __init__(self, class_count: int, answer_slack: float) -> None:
@@ -80,16 +81,33 @@
         request.last_command = None
         self.longest_response[request.header.class_index].add(now, now - request.command_sent_at)
 
-    def add(self, now: float, requests: Collection[InFlightRequest]) -> None:
+    def link_lost(self, now: float) -> None:
+        """Wait for the next link: until then a run that goes on is silent too."""
+        self.runs = [run._replace(give_up_at=self._overdue_at(now, run.request)) for run in self._silent()]
+
+    def link_synced(self, now: float, requests: Collection[InFlightRequest]) -> None:
         """Watch runs whose last command may have been lost; all notices sent so far have been read."""
-        for request in requests:
-            if request.last_command is None:
-                continue
-            longest = self.longest_response[request.header.class_index].get(now)
-            give_up_at = max(now, request.deadline) + self.answer_slack
-            if longest is not None:
-                give_up_at = min(give_up_at, now + max(MIN_SILENCE_SECONDS, SILENCE_FACTOR * longest))
-            self.runs.append(UnconfirmedRun(give_up_at, request, request.last_command))
+        watched = [run.request for run in self._silent()]
+        self.runs = [
+            UnconfirmedRun(self._give_up_at(now, request), request, request.last_command)
+            for request in (*watched, *requests)
+            if request.last_command is not None
+        ]
+
+    def _overdue_at(self, now: float, request: InFlightRequest) -> float:
+        return max(now, request.deadline) + self.answer_slack
+
+    def _give_up_at(self, now: float, request: InFlightRequest) -> float:
+        longest = self.longest_response[request.header.class_index].get(now)
+        overdue_at = self._overdue_at(now, request)
+        if longest is None:
+            return overdue_at
+        return min(overdue_at, now + max(MIN_SILENCE_SECONDS, SILENCE_FACTOR * longest))
+
+    def _silent(self) -> list[UnconfirmedRun]:
+        return [
+            run for run in self.runs if run.request.last_command is run.command and not run.request.is_over
+        ]
 
     def next_moments(self) -> list[float]:
         """The time of the next expiry, as a list that is empty if there is none."""
@@ -99,10 +117,6 @@
         """Take the requests whose run is given up."""
         if not self.runs:
             return
-        expired = [run for run in self.runs if run.give_up_at <= now]
-        self.runs = [run for run in self.runs if run.give_up_at > now and _is_silent(run)]
-        yield from (run.request for run in expired if _is_silent(run))
-
-
-def _is_silent(run: UnconfirmedRun) -> bool:
-    return run.request.last_command is run.command and not run.request.is_over
+        silent = self._silent()
+        self.runs = [run for run in silent if run.give_up_at > now]
+        yield from (run.request for run in silent if run.give_up_at <= now)
