--- a/review/second/case.py
+++ b/review/second/case.py
@@ -78,6 +78,11 @@
         self.children: dict[str, subprocess.Popen[bytes]] = {}
         self.broken: list[str] = []
 
+    @staticmethod
+    def now() -> float:
+        """Return the time, in seconds."""
+        return time.time()
+
     def say(self, text: str) -> None:
         """Write one line to the record, with the seconds since the start."""
         self.record.write(f"{time.time() - self.began:8.3f} {text}\n")
