--- a/review/second/case.py
+++ b/review/second/case.py
@@ -121,9 +121,11 @@
         self.say(f"{name}: started")
         return child
 
-    def serve(self, name: str, start: dict[str, Any], service: str | None = None) -> subprocess.Popen[bytes]:
-        """Start an app server with the deploy file's `run`."""
-        command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    def serve(
+        self, name: str, start: dict[str, Any], service: str | None = None, before: str = ""
+    ) -> subprocess.Popen[bytes]:
+        """Start an app server with the deploy file's `run`; `before` sets its limits."""
+        command = before + tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         variables = {"ROUTER_CONFIG": str(self.write(f"{name}.json", start)), "ROUTER_NAME": start["name"],
                      "ROUTER_LISTEN": start["listen"]}  # fmt: skip
         if service is not None:
